--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test lint format bench clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	PATH="$(CURDIR)/$(BIN):$$PATH" bash examples/demo/run
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 cowsliploom benchmarks examples tests
+	$(BIN)/mypy
+
+test: $(STAMP) lint
+	$(BIN)/python -m tests.known_red
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.run_all
+
+clean:
+	rm -rf $(VENV) build .demo
--- /dev/null
+++ b/cowsliploom/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Package cli of cowsliploom."""
--- /dev/null
+++ b/cowsliploom/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Package coordination of cowsliploom."""
--- /dev/null
+++ b/cowsliploom/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Package daemons of cowsliploom."""
--- /dev/null
+++ b/cowsliploom/loadgen/__init__.py
@@ -0,0 +1,1 @@
+"""Package loadgen of cowsliploom."""
--- /dev/null
+++ b/cowsliploom/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Package rollout of cowsliploom."""
--- /dev/null
+++ b/cowsliploom/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Package standins of cowsliploom."""
