--- /dev/null
+++ b/cowsliploom/resources/_parsing.py
@@ -0,0 +1,102 @@
+"""Parsing of resource files, before their documents are checked."""
+
+from collections.abc import Hashable
+from typing import Any
+
+import msgspec
+import yaml
+
+from cowsliploom.resources._problems import InvalidResources, ResourceProblem
+
+TIMESTAMP_TAG = 'tag:yaml.org,2002:timestamp'
+NAMED_ERRORS = (yaml.YAMLError, ValueError, RecursionError)
+
+
+class _Loader(yaml.SafeLoader):
+    """Load YAML, leaving times as texts and refusing a key given twice."""
+
+    yaml_implicit_resolvers = {
+        first: [resolver for resolver in resolvers if resolver[0] != TIMESTAMP_TAG]
+        for first, resolvers in yaml.SafeLoader.yaml_implicit_resolvers.items()
+    }
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Hashable, Any]:
+        """Build a mapping whose keys are distinct."""
+        keys: set[str] = set()
+        for key_node, _ in node.value:
+            key = str(self.construct_object(key_node, deep=True))
+            if key in keys:
+                raise yaml.constructor.ConstructorError(
+                    problem=f'field {key!r} is given twice',
+                    problem_mark=node.start_mark,
+                )
+            keys.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def _refuse(error: Exception, place: str, expected: str) -> InvalidResources:
+    reason = ' '.join(str(error).split()) or type(error).__name__
+    return InvalidResources((ResourceProblem(place, 'document', reason, expected),))
+
+
+def _flatten(parsed: list[Any]) -> list[Any]:
+    documents: list[Any] = []
+    for part in parsed:
+        documents.extend(part if isinstance(part, list) else [part])
+    return [document for document in documents if document is not None]
+
+
+def parse_json(text: str | bytes, place: str) -> list[Any]:
+    """Parse one JSON document or a list of them.
+
+    Parameters
+    ----------
+    text : str or bytes
+        JSON in UTF-8.
+    place : str
+        Name of the source in problems.
+
+    Returns
+    -------
+    list
+        The documents, not yet checked.
+
+    Raises
+    ------
+    InvalidResources
+        The text is no JSON, is not UTF-8 or nests too deeply.
+    """
+    try:
+        parsed = msgspec.json.decode(text)
+    except (ValueError, RecursionError) as error:
+        raise _refuse(error, place, 'JSON in UTF-8') from error
+    return _flatten([parsed])
+
+
+def parse_yaml(text: str | bytes, place: str) -> list[Any]:
+    """Parse a YAML file of one or many documents; JSON is a part of YAML.
+
+    Parameters
+    ----------
+    text : str or bytes
+        YAML in UTF-8.
+    place : str
+        Name of the file in problems.
+
+    Returns
+    -------
+    list
+        The documents, not yet checked.
+
+    Raises
+    ------
+    InvalidResources
+        The text is no YAML, is not UTF-8 or nests too deeply.
+    """
+    try:
+        parsed = list(yaml.load_all(text, Loader=_Loader))
+    except NAMED_ERRORS as error:
+        raise _refuse(error, place, 'YAML or JSON in UTF-8') from error
+    return _flatten(parsed)
