--- a/cowsliploom/resources/_decoding.py
+++ b/cowsliploom/resources/_decoding.py
@@ -86,10 +86,10 @@
             expected = _expected_field(unknown, tuple(hints))
             self.note(f'{path}.{unknown}', describe_got(found[unknown]), expected)
         for field in dataclasses.fields(shape):
+            value = found.get(field.name, dataclasses.MISSING)
             field_path = f'{path}.{field.name}'
-            if field.name in found:
-                hint = hints[field.name]
-                self._check_field(found[field.name], field, hint, field_path)
+            if value is not dataclasses.MISSING:
+                self._check_field(value, field, hints[field.name], field_path)
             elif field.default is dataclasses.MISSING:
                 self.note(field_path, '', 'a value, since the field is required')
 
