--- a/cowsliploom/protocol/__init__.py
+++ b/cowsliploom/protocol/__init__.py
@@ -22,3 +22,8 @@
 from cowsliploom.protocol._platform import VmInfo as VmInfo
 from cowsliploom.protocol._platform import VmList as VmList
 from cowsliploom.protocol._platform import VmState as VmState
+from cowsliploom.protocol._caller import AnswerCoverage as AnswerCoverage
+from cowsliploom.protocol._caller import RunAnswer as RunAnswer
+from cowsliploom.protocol._caller import RunRequest as RunRequest
+from cowsliploom.protocol._caller import SearchAnswer as SearchAnswer
+from cowsliploom.protocol._caller import SearchRequest as SearchRequest
