--- a/cowsliploom/adapters/__init__.py
+++ b/cowsliploom/adapters/__init__.py
@@ -2,3 +2,8 @@
 
 from cowsliploom.adapters._clock import SystemClock as SystemClock
 from cowsliploom.adapters._store import HttpStore as HttpStore
+from cowsliploom.adapters._backend_http import BackendServer as BackendServer
+from cowsliploom.adapters._backend_http import CallFailure as CallFailure
+from cowsliploom.adapters._backend_http import CallOutcome as CallOutcome
+from cowsliploom.adapters._backend_http import CallRequest as CallRequest
+from cowsliploom.adapters._metrics import Metrics as Metrics
--- a/cowsliploom/adapters/_backend_http.py
+++ b/cowsliploom/adapters/_backend_http.py
@@ -199,11 +199,10 @@
         self._workers = 0
         self._in_flight = 0
         self._generation = 0
-        self._closed = False
 
     def __enter__(self) -> 'BackendServer':
-        """Start the control worker."""
-        self._spawn(self._serve_control)
+        """Open the server for calls."""
+        self.open()
         return self
 
     def __exit__(
@@ -212,8 +211,15 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        """Close the server."""
+        self.close()
+
+    def open(self) -> None:
+        """Start the control worker."""
+        self._spawn(self._serve_control)
+
+    def close(self) -> None:
         """Ask all workers to end after the calls they hold."""
-        self._closed = True
         for _ in range(self._workers):
             self._calls.put(_Stop())
         self._control.put(_Stop())
--- /dev/null
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -0,0 +1,269 @@
+"""The task that owns the router: events in, commands out, on one loop."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from cowsliploom.adapters import Metrics
+from cowsliploom.daemons._entry_backends import Backends, server_specs
+from cowsliploom.daemons._entry_messages import (
+    CallerOutcome,
+    ConfigurationOffered,
+    MetricsAsked,
+    Request,
+    RunAsked,
+    SamplesCounted,
+    SearchAsked,
+)
+from cowsliploom.ports import Clock
+from cowsliploom.protocol import Ran
+from cowsliploom.resources import Configuration, Kind, SearchSpec
+from cowsliploom.routing import (
+    AnswerQuery,
+    AnswerRun,
+    CallFailed,
+    CallRefused,
+    CancelSent,
+    Command,
+    ConfigurationApplied,
+    Event,
+    FailureStep,
+    QueryArrived,
+    RecordSample,
+    RefuseCaller,
+    RetireConnections,
+    RunArrived,
+    RunReplied,
+    SearchReplied,
+    SendRun,
+    SendSearch,
+    Tick,
+)
+
+TICK_BUSY_MS = 5  # a tenth of the shortest hedge delay in use
+TICK_IDLE_MS = 50  # keeps the queues' clocks fresh at little cost
+MS_PER_S = 1000
+DEFAULT_TIMEOUT_MS = 1000  # a search that is not declared is refused long before
+
+Message = Request | ConfigurationOffered | MetricsAsked | SamplesCounted | Event
+
+
+class RouterPart(Protocol):
+    """Decide on queries and runs; the adaptive and the naive policy alike."""
+
+    def step(self, event: Event) -> tuple[Command, ...]:
+        """Take an event and return what to do."""
+        ...
+
+    def connection_allowance(self, server: str) -> int:
+        """Return how many connections this entry VM may hold to a server."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    request: Request
+    arrived_ms: float
+
+
+class RouterTask:
+    """Own the router, the backend servers' connections and the metrics.
+
+    Parameters
+    ----------
+    name : str
+        Name and incarnation of the entry VM; makes query ids unique.
+    router : RouterPart
+        Decisions.
+    backends : Backends
+        Connections to the backend servers.
+    clock : Clock
+        Clock of all events.
+    on_sample : callable
+        Takes the evidence on versions.
+    on_applied : callable
+        Takes each configuration that came into force.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        router: RouterPart,
+        backends: Backends,
+        clock: Clock,
+        on_sample: Callable[[RecordSample], None],
+        on_applied: Callable[[Configuration], None],
+    ) -> None:
+        self.metrics = Metrics()
+        self._name = name
+        self._router = router
+        self._backends = backends
+        self._clock = clock
+        self._on_sample = on_sample
+        self._on_applied = on_applied
+        self._configuration = Configuration()
+        self._pending: dict[str, _Pending] = {}
+        self._sequence = itertools.count()
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration in force."""
+        return self._configuration
+
+    @property
+    def pending(self) -> int:
+        """Number of callers that wait for an answer."""
+        return len(self._pending)
+
+    def start(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Take messages on a loop from now on."""
+        self._loop = loop
+        loop.call_soon(self._tick)
+
+    def post(self, message: Message) -> None:
+        """Hand a message to the task; may be called on any thread."""
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(self.take, message)
+
+    def take(self, message: Message) -> None:
+        """Take a message on the loop's own thread."""
+        match message:
+            case SearchAsked():
+                self._take_search(message)
+            case RunAsked():
+                self._take_run(message)
+            case ConfigurationOffered():
+                self._take_configuration(message.configuration)
+            case MetricsAsked():
+                message.text.set_result(self.metrics.render())
+            case SamplesCounted():
+                self.metrics.count(message.name, message.amount)
+            case SearchReplied() | RunReplied() | CallRefused() | CallFailed():
+                self._backends.ended(message.server)
+                self._step(message)
+            case _:
+                self._step(message)
+
+    def _take_search(self, asked: SearchAsked) -> None:
+        now_ms = self._clock.now_ms()
+        timeout_ms = asked.timeout_ms or self._default_timeout_ms(asked.search)
+        self._step(
+            QueryArrived(
+                now_ms,
+                self._admit(asked, now_ms),
+                asked.search,
+                asked.text,
+                asked.caller,
+                now_ms + timeout_ms,
+            )
+        )
+
+    def _take_run(self, asked: RunAsked) -> None:
+        now_ms = self._clock.now_ms()
+        self._step(
+            RunArrived(
+                now_ms,
+                self._admit(asked, now_ms),
+                asked.service,
+                asked.payload,
+                asked.caller,
+                now_ms + asked.timeout_ms,
+            )
+        )
+
+    def _admit(self, asked: Request, now_ms: float) -> str:
+        number = next(self._sequence)
+        query_id = f'{asked.query_id}~{self._name}-{number}'
+        self._pending[query_id] = _Pending(asked, now_ms)
+        return query_id
+
+    def _default_timeout_ms(self, search: str) -> float:
+        for resource in self._configuration.resources:
+            if resource.kind is Kind.SEARCH and resource.name == search:
+                if isinstance(resource.spec, SearchSpec):
+                    return resource.spec.timeout_ms
+        return DEFAULT_TIMEOUT_MS
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        if configuration.revision <= self._configuration.revision:
+            return
+        self._configuration = configuration
+        self._backends.apply(server_specs(configuration))
+        self._step(ConfigurationApplied(self._clock.now_ms(), configuration))
+        self._on_applied(configuration)
+
+    def _tick(self) -> None:
+        self._step(Tick(self._clock.now_ms()))
+        delay_ms = TICK_BUSY_MS if self._pending else TICK_IDLE_MS
+        if self._loop is not None:
+            self._loop.call_later(delay_ms / MS_PER_S, self._tick)
+
+    def _step(self, event: Event) -> None:
+        for command in self._router.step(event):
+            self._obey(command)
+
+    def _obey(self, command: Command) -> None:
+        match command:
+            case SendSearch() | SendRun():
+                self._send(command)
+            case CancelSent():
+                self.metrics.count('calls_cancelled')
+                self._backends.cancel(command.server, command.call_id)
+            case RetireConnections():
+                self._backends.retire_connections(command.server)
+            case AnswerQuery() | RefuseCaller():
+                self._finish(command.query_id, command)
+            case AnswerRun():
+                self._finish(command.run_id, command)
+            case RecordSample():
+                self._on_sample(command)
+
+    def _send(self, command: SendSearch | SendRun) -> None:
+        self.metrics.count('calls_sent')
+        if self._backends.knows(command.server):
+            allowance = self._router.connection_allowance(command.server)
+            self._backends.send(command, allowance)
+            return
+        self.post(
+            CallFailed(
+                self._clock.now_ms(),
+                command.call_id,
+                command.server,
+                FailureStep.CONNECT,
+                Ran.NO,
+                timed_out=False,
+            )
+        )
+
+    def _finish(self, query_id: str, outcome: CallerOutcome) -> None:
+        pending = self._pending.pop(query_id, None)
+        if pending is None:
+            return
+        elapsed_ms = self._clock.now_ms() - pending.arrived_ms
+        self.metrics.record(
+            _work_of(pending.request), pending.request.caller, elapsed_ms
+        )
+        self._count(outcome)
+        if pending.request.outcome.set_running_or_notify_cancel():
+            pending.request.outcome.set_result(outcome)
+
+    def _count(self, outcome: CallerOutcome) -> None:
+        match outcome:
+            case AnswerQuery():
+                whole = outcome.coverage.covered_docs >= outcome.coverage.total_docs
+                self.metrics.count('answers_whole' if whole else 'answers_partial')
+            case AnswerRun():
+                self.metrics.count('runs_answered')
+            case RefuseCaller():
+                self.metrics.count(f'refused_{outcome.cause}')
+
+
+def _work_of(request: Request) -> str:
+    match request:
+        case SearchAsked():
+            return request.search
+        case RunAsked():
+            return request.service
--- a/cowsliploom/routing/__init__.py
+++ b/cowsliploom/routing/__init__.py
@@ -27,3 +27,6 @@
 from cowsliploom.routing._messages import SharesChanged as SharesChanged
 from cowsliploom.routing._messages import Tick as Tick
 from cowsliploom.routing._messages import VersionShare as VersionShare
+from cowsliploom.routing._messages import Command as Command
+from cowsliploom.routing._messages import Event as Event
+from cowsliploom.routing._messages import RetireConnections as RetireConnections
