Add the schedule of backend server probes

Cause: each probe is control work; polling 126 servers from each entry VM every second was estimated above the control budget before it was built. Weighed: every entry VM polls every server (ruled out: cost and load grow with entries); the owner polls often, others rarely, changes go by gossip (chosen).

--- /dev/null
+++ b/cowsliploom/daemons/_entry_probe.py
@@ -0,0 +1,65 @@
+"""When to probe which backend server."""
+
+from collections.abc import Iterable
+
+OWNED_INTERVAL_MS = 1000  # leaving servers must be known within 3 s
+OTHER_INTERVAL_MS = 8000  # the owner tells the others of changes by gossip
+FIRST_SPREAD_MS = 10  # probes of new servers start this far apart
+PROBES_PER_STEP = 8  # bounds the burst after a pause of the process
+
+
+class ProbeSchedule:
+    """Choose the backend servers that are due for a probe.
+
+    Notes
+    -----
+    The owner of a server probes it often and the other entry VMs rarely, so that
+    probes on a server do not grow with the number of entry VMs.
+
+    Examples
+    --------
+    >>> schedule = ProbeSchedule()
+    >>> schedule.declare(0, ('a1', 'a2'))
+    >>> schedule.due(5)
+    ('a1',)
+    """
+
+    def __init__(self) -> None:
+        self._due_ms: dict[str, float] = {}
+        self._owned: frozenset[str] = frozenset()
+
+    def declare(self, now_ms: float, servers: Iterable[str]) -> None:
+        """Take the declared servers; new ones are probed first."""
+        known = self._due_ms
+        self._due_ms = {
+            server: known.get(server, now_ms + place * FIRST_SPREAD_MS)
+            for place, server in enumerate(servers)
+        }
+
+    def own(self, now_ms: float, servers: frozenset[str]) -> None:
+        """Take the owned servers; newly owned ones are due soon."""
+        for server in servers - self._owned:
+            if server in self._due_ms:
+                soon_ms = now_ms + OWNED_INTERVAL_MS
+                self._due_ms[server] = min(self._due_ms[server], soon_ms)
+        self._owned = servers
+
+    def hasten(self, now_ms: float, server: str) -> None:
+        """Make a server due now, since its replies have told of a change."""
+        if server in self._due_ms:
+            self._due_ms[server] = now_ms
+
+    def due(self, now_ms: float) -> tuple[str, ...]:
+        """Return the servers to probe now and set their next time."""
+        ready = sorted(
+            (due_ms, server)
+            for server, due_ms in self._due_ms.items()
+            if due_ms <= now_ms
+        )
+        chosen = tuple(server for _, server in ready[:PROBES_PER_STEP])
+        for server in chosen:
+            interval_ms = (
+                OWNED_INTERVAL_MS if server in self._owned else OTHER_INTERVAL_MS
+            )
+            self._due_ms[server] = now_ms + interval_ms
+        return chosen
