Add the platform stand-in and the store fake at the port

The store's state is one class without sockets or clocks, used by the HTTP stand-in and by MemoryStore, which stands at the Store port for sans-IO tests. Weighed: an HTTP-only fake (each test of a claim or lease would pay for sockets and real time) and two separate fakes (their leases would drift apart). A lapsed lease can't be renewed, so a paused holder has to acquire anew and gets a higher token. Dropped answers are done by raising a connection reset in the WSGI application, which cheroot takes as a gone client, so none of its classes had to be changed for it.

--- /dev/null
+++ b/cowsliploom/standins/_http.py
@@ -0,0 +1,206 @@
+"""HTTP plumbing that both stand-ins share."""
+
+import errno
+import signal
+import sys
+import threading
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, TypeVar
+from urllib.parse import parse_qsl, unquote
+
+import msgspec
+from cheroot import wsgi
+
+HOST_PORT = ':'
+BODY_MAX = 4 * 1024 * 1024  # bytes; above the store's value limit with JSON escapes
+IDLE_TIMEOUT_S = 600  # callers decide on the age of connections, not the stand-in
+BACKLOG = 128  # connections that may wait for accept in a burst
+SHUTDOWN_TIMEOUT_S = 1
+KEEP_ALIVE_MAX = 100_000  # idle connections; the stand-in counts its own limit
+
+Shape = TypeVar('Shape')
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold one HTTP request as the handlers see it."""
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    peer_port: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold one HTTP reply; the body is JSON or empty."""
+
+    status: HTTPStatus
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Say what was wrong with a request to a stand-in."""
+
+    problem: str
+
+
+@dataclass(frozen=True, slots=True)
+class NamedAddress:
+    """Tell where one stand-in listens."""
+
+    name: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """Say on standard output that all addresses are listening."""
+
+    ready: str
+    servers: tuple[NamedAddress, ...] = ()
+
+
+class DropConnection(ConnectionResetError):
+    """Make cheroot close the connection without writing a reply."""
+
+    def __init__(self) -> None:
+        super().__init__(errno.ECONNRESET, 'dropped by a fault switch')
+
+
+Handler = Callable[[Request], Reply]
+
+
+def json_reply(body: object, status: HTTPStatus = HTTPStatus.OK) -> Reply:
+    """Encode a typed message as the body of a reply."""
+    return Reply(status, msgspec.json.encode(body))
+
+
+def problem_reply(status: HTTPStatus, problem: str) -> Reply:
+    """Build a reply that says what was wrong."""
+    return json_reply(Problem(problem), status)
+
+
+def decode_body(request: Request, shape: type[Shape]) -> Shape:
+    """Decode a request's JSON body; raise ``msgspec.MsgspecError`` if it differs."""
+    return msgspec.json.decode(request.body, type=shape)
+
+
+class JsonApp:
+    """Turn a typed handler into a WSGI application.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes a `Request` and returns a `Reply`; may raise `DropConnection`.
+    """
+
+    def __init__(self, answer: Handler) -> None:
+        self.answer = answer
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request."""
+        reply = self._reply(_read_request(environ))
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(reply.body))),
+        ]
+        start_response(f'{reply.status.value} {reply.status.phrase}', headers)
+        return [reply.body]
+
+    def _reply(self, request: Request) -> Reply:
+        if len(request.body) > BODY_MAX:
+            return problem_reply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'body too large')
+        try:
+            return self.answer(request)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return problem_reply(HTTPStatus.BAD_REQUEST, str(error))
+
+
+def _read_request(environ: Environ) -> Request:
+    length = int(environ.get('CONTENT_LENGTH') or 0)
+    return Request(
+        method=environ['REQUEST_METHOD'],
+        path=unquote(environ['PATH_INFO']),
+        query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
+        body=environ['wsgi.input'].read(min(length, BODY_MAX + 1)) if length else b'',
+        peer_port=int(environ.get('REMOTE_PORT') or 0),
+    )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; raise ``ValueError`` naming what was expected."""
+    host, _, port = address.rpartition(HOST_PORT)
+    if not host or not port.isdigit():
+        raise ValueError(f'listen: got {address!r}, expected host:port')
+    return host, int(port)
+
+
+class StandinServer(wsgi.Server):
+    """Serve one application on its own address, in its own threads.
+
+    Parameters
+    ----------
+    listen : str
+        ``host:port``; port 0 lets the system choose.
+    answer : callable
+        Typed handler of the requests.
+    threads : int
+        Requests that are worked on, or wait, at once.
+    """
+
+    keep_alive_conn_limit = KEEP_ALIVE_MAX
+
+    def __init__(self, listen: str, answer: Handler, threads: int) -> None:
+        super().__init__(
+            split_address(listen),
+            JsonApp(answer),
+            numthreads=threads,
+            request_queue_size=BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+
+    def __enter__(self) -> 'StandinServer':
+        """Listen, and serve in the background."""
+        self.prepare()
+        threading.Thread(target=self.serve, daemon=True).start()
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """Stop serving and close all connections."""
+        self.stop()
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound."""
+        host, port = self.bind_addr
+        return f'{host}{HOST_PORT}{port}'
+
+    def error_log(
+        self, msg: str = '', level: int = 20, traceback: bool = False
+    ) -> None:
+        """Keep quiet; dropped connections are what a stand-in is for."""
+
+
+def announce(servers: Sequence[NamedAddress]) -> None:
+    """Print the ready line."""
+    ready = Ready(servers[0].address, tuple(servers))
+    sys.stdout.write(f'{msgspec.json.encode(ready).decode()}\n')
+    sys.stdout.flush()
+
+
+def wait_for_signal() -> None:
+    """Return after SIGTERM or SIGINT."""
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    signal.signal(signal.SIGINT, lambda *_: stopped.set())
+    stopped.wait()
--- /dev/null
+++ b/cowsliploom/standins/platform.py
@@ -0,0 +1,53 @@
+"""Stand-in of the platform's key-value service and list of VMs."""
+
+import click
+
+from cowsliploom.adapters import SystemClock
+from cowsliploom.standins._http import (
+    NamedAddress,
+    StandinServer,
+    announce,
+    wait_for_signal,
+)
+from cowsliploom.standins._platform import Platform
+from cowsliploom.standins._store import StoreState
+
+THREADS = 128  # a waiting watch holds one
+
+
+@click.command(
+    context_settings={'auto_envvar_prefix': 'COWSLIPLOOM_STANDIN_PLATFORM'},
+)
+@click.option(
+    '--listen',
+    default='127.0.0.1:0',
+    show_default=True,
+    help='Address host:port to listen on; port 0 lets the system choose.',
+)
+@click.option(
+    '--lag-ms',
+    default=0,
+    show_default=True,
+    type=click.FloatRange(min=0),
+    help='Time until a change of the list of VMs is seen, in milliseconds.',
+)
+@click.option(
+    '--threads',
+    default=THREADS,
+    show_default=True,
+    type=click.IntRange(min=2),
+    help='Calls answered at once; a waiting watch is one.',
+)
+def main(listen: str, lag_ms: float, threads: int) -> None:
+    """Run a small fake of the platform's service, for tests and demos.
+
+    Prints {"ready": "host:port"} when listening. Stops on SIGTERM or SIGINT.
+    """
+    platform = Platform(StoreState(lag_ms), SystemClock())
+    try:
+        server = StandinServer(listen, platform.answer, threads)
+    except ValueError as error:
+        raise click.UsageError(str(error)) from error
+    with server:
+        announce([NamedAddress('platform', server.address)])
+        wait_for_signal()
