Keep the configuration in the store, changed whole by one swap of its head

So resources lie in chunks by segment, under keys that one change alone uses, and one swap of the head puts them in force. Weighed: keys by resource (no atomic change of several, a watch for each), one big value (too large), chunk keys by content alone (a chunk could come back into force while it is collected). A swap without an answer is tried again on the same base until the head has moved on, which settles it.

--- a/cowsliploom/resources/_log.py
+++ b/cowsliploom/resources/_log.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cowsliploom.ports import (
     Absent,
@@ -47,20 +47,26 @@
 COLLECTED = ''  # what stands in a collected chunk, as the store has no delete
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
-    """Remember a swap of the head that got no answer."""
-
-    base: StoredHead
-
-
 @dataclass(frozen=True, slots=True)
 class _Again:
-    """Go round once more; ``failure`` is what stopped this round, if anything."""
+    """Go round once more, knowing what the last round left open.
+
+    Parameters
+    ----------
+    failure : Unanswered or None
+        Call that stopped the round, if one did.
+    base : StoredHead or None
+        Head that the last writes build on.
+    written : tuple of str
+        Chunks that may have been written for that head's successor.
+    maybe : bool
+        A swap of that head got no answer and may still take effect.
+    """
 
-    failure: Unanswered | None
-    attempt: _Attempt | None
+    failure: Unanswered | None = None
+    base: StoredHead | None = None
     written: tuple[str, ...] = ()
+    maybe: bool = False
 
 
 class ConfigurationLog:
@@ -157,7 +163,7 @@
         Accepted, Raced, Missing, Invalid or NotAccepted
             ``Accepted`` only for a change that is in the store.
         """
-        again = _Again(None, None)
+        again = _Again()
         round_number = 0
         while self.clock.now_ms() < deadline_ms:
             if again.failure is not None:
@@ -167,76 +173,66 @@
             if not isinstance(outcome, _Again):
                 return outcome
             again = outcome
-        return self._give_up(again)
+        return _give_up(again)
 
     def _back_off(self, round_number: int, deadline_ms: float) -> None:
         bound = min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS * 2**round_number)
         left = deadline_ms - self.clock.now_ms()
         self.pause(min(self.chooser.uniform(0, bound), max(0, left)))
 
-    def _give_up(self, again: _Again) -> NotAccepted:
-        maybe = again.attempt is not None
-        failure = again.failure
-        if failure is None:
-            reason = 'no time was left between races with other changes'
-            return NotAccepted('config.apply', HEAD_KEY, reason, maybe)
-        return NotAccepted(failure.step, failure.peer, failure.reason, maybe)
-
     def _try(self, change: Change, before: _Again) -> Outcome | _Again:
         view = self.read()
         if isinstance(view, Unanswered):
-            return _Again(view, before.attempt, before.written)
+            return replace(before, failure=view)
         plan = plan_change(change, view)
         if isinstance(plan, Accepted):
             return plan
-        attempt = before.attempt
-        if attempt is not None and attempt.base.version != view.stored.version:
-            if _forgotten(attempt, view):
+        if before.base is not None and before.base.version != view.stored.version:
+            if before.maybe and _forgotten(before.base, view):
                 reason = 'too many changes since to tell whether it took effect'
                 return NotAccepted('config.apply', HEAD_KEY, reason, maybe=True)
-            attempt = None
-        self._collect(before.written, view)
+            self._collect_lost(before.written, view)
+            before = _Again()
         match plan:
             case Plan():
-                return self._write(plan, view.stored, attempt)
+                return self._write(plan, view.stored, before.maybe)
             case Raced() | Missing() | Invalid():
                 return plan
 
-    def _write(
-        self, plan: Plan, base: StoredHead, attempt: _Attempt | None
-    ) -> Outcome | _Again:
+    def _write(self, plan: Plan, base: StoredHead, maybe: bool) -> Outcome | _Again:
         written = tuple(chunk.digest for chunk in plan.chunks)
-        for chunk in plan.chunks:
-            failure = self._write_chunk(chunk)
-            if failure is not None:
-                return _Again(failure, attempt, written)
+        again = _Again(None, base, written, maybe)
+        failure = self._write_chunks(plan.chunks)
+        if failure is not None:
+            return replace(again, failure=failure)
         text = encode_head(plan.head)
         answer = self.store.swap(HEAD_KEY, text, base.version, self.call_timeout_ms)
         match answer:
             case Swapped():
                 due = due_chunks(base.head, base.store_ms)
-                self._collect_chunks(tuple(chunk.digest for chunk in due))
+                self._collect(tuple(chunk.digest for chunk in due))
                 return Accepted(plan.head.revision)
             case Conflict():
-                return _Again(None, attempt, written)
-            case Unanswered(maybe_applied=maybe):
-                return _Again(answer, _Attempt(base) if maybe else attempt, written)
-
-    def _write_chunk(self, chunk: EncodedChunk) -> Unanswered | None:
-        """Write a chunk; its key is its own, so a conflict means it is there."""
-        answer = self.store.swap(
-            chunk_key(chunk.digest), chunk.text, 0, self.call_timeout_ms
-        )
-        return answer if isinstance(answer, Unanswered) else None
+                return again
+            case Unanswered(maybe_applied=unsure):
+                return replace(again, failure=answer, maybe=maybe or unsure)
+
+    def _write_chunks(self, chunks: tuple[EncodedChunk, ...]) -> Unanswered | None:
+        """Write chunks; a key is its chunk's own, so a conflict means it is there."""
+        for chunk in chunks:
+            answer = self.store.swap(
+                chunk_key(chunk.digest), chunk.text, 0, self.call_timeout_ms
+            )
+            if isinstance(answer, Unanswered):
+                return answer
+        return None
 
-    def _collect(self, written: tuple[str, ...], view: ConfigurationView) -> None:
-        """Collect chunks of an attempt that lost its race for good."""
+    def _collect_lost(self, written: tuple[str, ...], view: ConfigurationView) -> None:
+        """Collect chunks whose head has lost its race, so that none will use them."""
         in_force = view.chunks.keys()
-        self._collect_chunks(
-            tuple(digest for digest in written if digest not in in_force)
-        )
+        self._collect(tuple(digest for digest in written if digest not in in_force))
 
-    def _collect_chunks(self, digests: tuple[str, ...]) -> None:
+    def _collect(self, digests: tuple[str, ...]) -> None:
         """Empty chunks that no head refers to; what fails stays, and harms none."""
         for digest in digests:
             key = chunk_key(digest)
@@ -261,12 +257,15 @@
         return view
 
 
-def _forgotten(attempt: _Attempt, view: ConfigurationView) -> bool:
-    """Tell whether the head may have dropped the record of the attempt."""
-    passed = view.stored.head.revision - attempt.base.head.revision
-    return passed > CHANGES_KEPT
+def _give_up(again: _Again) -> NotAccepted:
+    failure = again.failure
+    if failure is None:
+        reason = 'no time was left between races with other changes'
+        return NotAccepted('config.apply', HEAD_KEY, reason, again.maybe)
+    return NotAccepted(failure.step, failure.peer, failure.reason, again.maybe)
 
 
-def apply_change(log: ConfigurationLog, change: Change, deadline_ms: float) -> Outcome:
-    """Apply a change; see ``ConfigurationLog.apply``."""
-    return log.apply(change, deadline_ms)
+def _forgotten(base: StoredHead, view: ConfigurationView) -> bool:
+    """Tell whether the head may have dropped the record of a change on a base."""
+    passed = view.stored.head.revision - base.head.revision
+    return passed > CHANGES_KEPT
--- a/cowsliploom/resources/_reading.py
+++ b/cowsliploom/resources/_reading.py
@@ -88,10 +88,14 @@
     try:
         head = decode_head(found.value)
     except msgspec.MsgspecError as error:
-        return Unanswered('config.head', found.key, False, str(error))  # noqa: WPS425
+        return _unreadable(found.key, error)
     return StoredHead(found.version, found.store_ms, head)
 
 
+def _unreadable(key: str, error: Exception) -> Unanswered:
+    return Unanswered('config.decode', key, maybe_applied=False, reason=str(error))
+
+
 def fetch_chunks(
     store: Store, head: Head, known: KnownChunks, timeout_ms: float
 ) -> dict[str, tuple[Resource, ...]] | ChunkGone | Unanswered:
@@ -131,12 +135,19 @@
     answer = store.read(chunk_key(digest), timeout_ms)
     match answer:
         case StoredValue(value=text) if digest_text(text) == digest:
-            return decode_chunk(text)
+            return _decode_chunk(text, digest)
         case StoredValue() | Absent():
             return ChunkGone(digest)
     return answer
 
 
+def _decode_chunk(text: str, digest: str) -> tuple[Resource, ...] | Unanswered:
+    try:
+        return decode_chunk(text)
+    except msgspec.MsgspecError as error:
+        return _unreadable(chunk_key(digest), error)
+
+
 def assemble(
     stored: StoredHead, chunks: dict[str, tuple[Resource, ...]]
 ) -> ConfigurationView:
--- /dev/null
+++ b/cowsliploom/resources/tests/test_log.py
@@ -0,0 +1,452 @@
+"""A change is applied whole, once, or truly said not to be known so."""
+
+import random
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cowsliploom.ports import Swapped, Unanswered
+from cowsliploom.resources import (
+    HEAD_KEY,
+    Accepted,
+    Change,
+    ConfigurationLog,
+    ConfigurationView,
+    DataCentreSpec,
+    DataCentreState,
+    Invalid,
+    Kind,
+    Missing,
+    NotAccepted,
+    Raced,
+    Resource,
+    ResourceRef,
+    SearchSpec,
+    read_configuration,
+)
+from cowsliploom.resources._layout import COLLECT_AFTER_MS, RETIRED_MAX, decode_head
+from cowsliploom.standins import MemoryStore
+
+CALL_MS = 50
+IN = DataCentreSpec()
+OUT = DataCentreSpec(DataCentreState.OUT)
+LOSSES = ('lost_answer', 'lost_request', 'down', 'late')
+
+
+@dataclass
+class ManualClock:
+    """Clock that moves only when told."""
+
+    time_ms: float = 0
+
+    def now_ms(self):
+        return self.time_ms
+
+    def wall_ms(self):
+        return self.time_ms
+
+    def pause(self, wait_ms):
+        self.time_ms += wait_ms
+
+
+class Crash(Exception):
+    """Stop the writer as a crash would."""
+
+
+@dataclass
+class FaultyStore:
+    """Pass calls on to a store, with a fault at calls of given numbers."""
+
+    inner: MemoryStore
+    faults: dict[int, str] = field(default_factory=dict)
+    calls: int = 0
+    late: list[Any] = field(default_factory=list)
+
+    def read(self, key, timeout_ms):
+        return self._call('read', key, timeout_ms)
+
+    def swap(self, key, text, expected_version, timeout_ms):
+        return self._call('swap', key, text, expected_version, timeout_ms)
+
+    def watch(self, key, after_version, wait_ms):
+        return self._call('watch', key, after_version, wait_ms)
+
+    def _call(self, name, *arguments):
+        self.calls += 1
+        fault = self.faults.get(self.calls)
+        if fault == 'late':
+            self.late.append((name, arguments))
+            return Unanswered(f'store.{name}', 'store', True, 'test')
+        if fault in {'down', 'lost_request'}:
+            return Unanswered(f'store.{name}', 'store', fault != 'down', 'test')
+        outcome = getattr(self.inner, name)(*arguments)
+        for late_name, late_arguments in self.late:
+            getattr(self.inner, late_name)(*late_arguments)
+        self.late.clear()
+        if fault == 'crash':
+            raise Crash
+        if fault == 'lost_answer':
+            return Unanswered(f'store.{name}', 'store', True, 'test')
+        return outcome
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    return MemoryStore(clock)
+
+
+def open_log(store, clock, seed=1):
+    return ConfigurationLog(store, clock, clock.pause, random.Random(seed), CALL_MS)
+
+
+def data_centre(name, spec=IN, revision=0):
+    return Resource(Kind.DATA_CENTRE, name, spec, revision)
+
+
+def put(change_id, *resources):
+    return Change(change_id, resources)
+
+
+def names_of(store):
+    configuration = read_configuration(store, CALL_MS)
+    return {resource.name: resource.spec for resource in configuration.resources}
+
+
+FIRST = put('first', data_centre('de'), data_centre('gogledd'))
+SECOND = Change(
+    'second',
+    (data_centre('de', OUT), data_centre('canolbarth')),
+    (ResourceRef(Kind.DATA_CENTRE, 'gogledd'),),
+)
+BEFORE = {'de': IN, 'gogledd': IN}
+AFTER = {'de': OUT, 'canolbarth': IN}
+CALLS_OF_SECOND = 11  # head, chunks and their collection; more do no harm
+
+
+def test_change_of_several_resources_is_read_back(store, clock):
+    log = open_log(store, clock)
+    assert log.apply(FIRST, 100) == Accepted(1)
+    assert log.apply(SECOND, 100) == Accepted(2)
+    assert names_of(store) == AFTER
+
+
+def test_unchanged_specification_keeps_its_revision(store, clock):
+    log = open_log(store, clock)
+    log.apply(FIRST, 100)
+    assert log.apply(put('again', data_centre('de')), 100) == Accepted(2)
+    revisions = {found.revision for found in log.read().configuration.resources}
+    assert revisions == {1}
+
+
+@pytest.mark.parametrize('call', range(1, CALLS_OF_SECOND))
+def test_crash_at_any_step_leaves_all_or_nothing(store, clock, call):
+    open_log(store, clock).apply(FIRST, 100)
+    try:
+        open_log(FaultyStore(store, {call: 'crash'}), clock).apply(SECOND, 100)
+    except Crash:
+        assert names_of(store) in (BEFORE, AFTER)
+    assert isinstance(open_log(store, clock).apply(SECOND, 1000), Accepted)
+    assert names_of(store) == AFTER
+    assert read_configuration(store, CALL_MS).revision == 2
+
+
+@pytest.mark.parametrize('fault', LOSSES)
+@pytest.mark.parametrize('call', range(1, CALLS_OF_SECOND))
+def test_one_lost_call_is_made_good(store, clock, call, fault):
+    open_log(store, clock).apply(FIRST, 100)
+    faulty = FaultyStore(store, {call: fault})
+    assert open_log(faulty, clock).apply(SECOND, 10_000) == Accepted(2)
+    assert names_of(store) == AFTER
+
+
+@pytest.mark.parametrize('fault', LOSSES)
+@pytest.mark.parametrize('first', range(1, CALLS_OF_SECOND))
+def test_outage_from_any_call_is_told_truly(store, clock, first, fault):
+    open_log(store, clock).apply(FIRST, 100)
+    faults = {call: fault for call in range(first, 10_000)}
+    outcome = open_log(FaultyStore(store, faults), clock).apply(SECOND, 5000)
+    match outcome:
+        case Accepted(revision):
+            assert revision == 2
+            assert names_of(store) == AFTER
+        case NotAccepted(maybe=maybe):
+            assert maybe or names_of(store) == BEFORE
+            assert clock.time_ms >= 5000
+        case _:
+            raise AssertionError(outcome)
+    assert open_log(store, clock).apply(SECOND, 10_000) == Accepted(2)
+
+
+def test_store_down_from_the_start_is_not_maybe(store, clock):
+    faults = {call: 'down' for call in range(1, 1000)}
+    outcome = open_log(FaultyStore(store, faults), clock).apply(FIRST, 1000)
+    assert (outcome.maybe, outcome.step) == (False, 'store.read')
+
+
+def test_change_whose_swap_arrives_late_is_not_applied_twice(store, clock):
+    writer = open_log(FaultyStore(store, {4: 'late'}), clock)
+    assert writer.apply(FIRST, 1000) == Accepted(1)
+    assert len(decode_head(store.read(HEAD_KEY, CALL_MS).value).changes) == 1
+
+
+def test_change_seen_before_gets_its_recorded_answer(store, clock):
+    log = open_log(store, clock)
+    log.apply(FIRST, 100)
+    log.apply(SECOND, 100)
+    assert open_log(store, clock).apply(FIRST, 100) == Accepted(1)
+    assert names_of(store) == AFTER
+
+
+def test_change_id_of_another_change_is_refused(store, clock):
+    log = open_log(store, clock)
+    log.apply(FIRST, 100)
+    outcome = log.apply(replace(SECOND, change_id='first'), 100)
+    assert outcome.problems[0].field == 'change_id'
+    assert names_of(store) == BEFORE
+
+
+@pytest.mark.parametrize(
+    ('change', 'outcome'),
+    [
+        (put('x', data_centre('de', OUT, 7)), Raced(Kind.DATA_CENTRE, 'de', 1)),
+        (put('x', data_centre('new', OUT, 7)), Raced(Kind.DATA_CENTRE, 'new', 0)),
+        (
+            Change('x', deletes=(ResourceRef(Kind.DATA_CENTRE, 'de', 3),)),
+            Raced(Kind.DATA_CENTRE, 'de', 1),
+        ),
+        (
+            Change('x', deletes=(ResourceRef(Kind.DATA_CENTRE, 'new'),)),
+            Missing(Kind.DATA_CENTRE, 'new'),
+        ),
+    ],
+)
+def test_change_that_builds_on_something_else_writes_nothing(
+    store, clock, change, outcome
+):
+    log = open_log(store, clock)
+    log.apply(FIRST, 100)
+    assert log.apply(change, 100) == outcome
+    assert read_configuration(store, CALL_MS).revision == 1
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        put('x', Resource(Kind.SEARCH, 'cue', SearchSpec(('gone',), 300))),
+        put('', data_centre('de')),
+        put('x' * 65, data_centre('de')),
+        put('x', data_centre('de'), data_centre('de', OUT)),
+        Change('x', (data_centre('de'),), (ResourceRef(Kind.DATA_CENTRE, 'de'),)),
+        put('x', Resource(Kind.SEARCH, 'cue', SearchSpec(('s' * 1_000_000,), 300))),
+    ],
+)
+def test_invalid_change_writes_nothing(store, clock, change):
+    log = open_log(store, clock)
+    log.apply(FIRST, 100)
+    assert isinstance(log.apply(change, 100), Invalid)
+    assert names_of(store) == BEFORE
+
+
+def test_revision_that_goes_down_is_no_answer(store, clock):
+    log = open_log(store, clock)
+    log.apply(FIRST, 100)
+    log.apply(SECOND, 100)
+    log.read()
+    old = store.read(HEAD_KEY, CALL_MS)
+    store.swap(HEAD_KEY, '{"revision":1}', old.version, CALL_MS)
+    assert isinstance(log.read(), Unanswered)
+    assert log.view.configuration.revision == 2
+
+
+@pytest.mark.parametrize('head', ['', '{', '{"segments":[{"segment":1}]}', '[]'])
+def test_damaged_head_is_no_answer_and_is_not_written_over(store, clock, head):
+    store.swap(HEAD_KEY, head, 0, CALL_MS)
+    log = open_log(store, clock)
+    assert isinstance(log.apply(FIRST, 1000), NotAccepted)
+    assert store.read(HEAD_KEY, CALL_MS).version == 1
+
+
+def test_wait_reads_only_the_chunks_that_changed(store, clock):
+    writer = open_log(store, clock)
+    writer.apply(FIRST, 100)
+    reader = open_log(store, clock)
+    reader.read()
+    writer.apply(put('other', data_centre('canolbarth')), 100)
+    reads = store.counters.reads
+    view = reader.wait(1000)
+    assert isinstance(view, ConfigurationView)
+    assert view.configuration.revision == 2
+    assert store.counters.reads == reads + 1
+
+
+class StaleOnce(FaultyStore):
+    """Show the head once with a chunk that has been collected since."""
+
+    stale_digest = ''
+
+    def read(self, key, timeout_ms):
+        found = super().read(key, timeout_ms)
+        if self.calls > 1:
+            return found
+        digest = decode_head(found.value).segments[0].digest
+        return replace(found, value=found.value.replace(digest, self.stale_digest))
+
+
+def test_reader_that_meets_a_collected_chunk_reads_again(store, clock):
+    writer = open_log(store, clock)
+    writer.apply(FIRST, 100)
+    stale = StaleOnce(store)
+    stale.stale_digest = (
+        decode_head(store.read(HEAD_KEY, CALL_MS).value).segments[0].digest
+    )
+    writer.apply(SECOND, 100)
+    store.swap(f'config/chunk/{stale.stale_digest}', '', 1, CALL_MS)
+    assert read_configuration(stale, CALL_MS).revision == 2
+
+
+def test_chunks_out_of_force_are_collected(store, clock):
+    log = open_log(store, clock)
+    for number in range(20):
+        spec = OUT if number % 2 else IN
+        clock.time_ms += COLLECT_AFTER_MS
+        log.apply(put(f'change-{number}', data_centre('de', spec)), clock.time_ms + 100)
+    kept = [
+        stored
+        for key, stored in store.state._values.items()  # noqa: SLF001
+        if key.startswith('config/chunk/') and stored.value
+    ]
+    assert len(kept) <= 4
+
+
+def test_head_stays_bounded_under_a_burst_of_changes(store, clock):
+    log = open_log(store, clock)
+    for number in range(RETIRED_MAX + 100):
+        spec = OUT if number % 2 else IN
+        log.apply(put(f'change-{number}', data_centre('de', spec)), 100)
+    head = decode_head(store.read(HEAD_KEY, CALL_MS).value)
+    assert len(head.retired) <= RETIRED_MAX + 1
+    assert len(head.changes) == 64
+    assert names_of(store) == {'de': OUT}
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One change by one of the operators, with faults on its calls."""
+
+    operator: int
+    resource: int
+    with_match: bool
+    faults: dict[int, str]
+
+
+ATTEMPTS = st.lists(
+    st.builds(
+        Attempt,
+        st.integers(0, 2),
+        st.integers(0, 3),
+        st.booleans(),
+        st.dictionaries(st.integers(1, 8), st.sampled_from(LOSSES), max_size=3),
+    ),
+    max_size=12,
+)
+
+
+class RacingStore(FaultyStore):
+    """Let other operators' changes in between a writer's calls."""
+
+    def __init__(self, inner, faults, between):
+        super().__init__(inner, faults)
+        self.between = between
+
+    def swap(self, key, text, expected_version, timeout_ms):
+        if key == HEAD_KEY and self.between:
+            self.between.pop()()
+        return super().swap(key, text, expected_version, timeout_ms)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(ATTEMPTS, st.lists(st.integers(0, 3), max_size=4))
+def test_racing_operators_make_one_history(attempts, races):
+    clock = ManualClock()
+    store = MemoryStore(clock)
+    history = History(store, clock)
+    for number, attempt in enumerate(attempts):
+        between = [
+            partial(history.race, race, f'{number}-{place}')
+            for place, race in enumerate(races)
+        ]
+        history.attempt(number, attempt, between)
+    history.check()
+
+
+class History:
+    """Drive operators on one store and judge them against a register."""
+
+    def __init__(self, store, clock):
+        self.store = store
+        self.clock = clock
+        self.accepted = {}
+        self.refused = set()
+        self.changes = {}
+        self.seen = {}
+        self.revision = 0
+
+    def race(self, resource, tag):
+        log = open_log(self.store, self.clock, seed=5)
+        change = put(f'race-{tag}', data_centre(f'dc-{resource}', self._spec(tag)))
+        self._judge(change, log.apply(change, self.clock.time_ms + 1000))
+
+    def attempt(self, number, attempt, between):
+        name = f'dc-{attempt.resource}'
+        match = self.seen.get(name, 0) if attempt.with_match else 0
+        change = put(f'change-{number}', data_centre(name, self._spec(number), match))
+        faulty = RacingStore(self.store, attempt.faults, between)
+        log = open_log(faulty, self.clock, seed=number)
+        self._judge(change, log.apply(change, self.clock.time_ms + 1000))
+
+    def check(self):
+        found = self.store.read(HEAD_KEY, CALL_MS)
+        head = decode_head(getattr(found, 'value', '{}'))
+        recorded = {record.change_id: record.revision for record in head.changes}
+        assert len(recorded) == head.revision
+        for change_id, revision in self.accepted.items():
+            assert recorded[change_id] == revision
+        assert not self.refused & recorded.keys()
+        register = {}
+        for change_id in recorded:
+            for resource in self.changes[change_id].puts:
+                register[resource.name] = resource.spec
+        assert names_of(self.store) == register
+
+    def _spec(self, _tag):
+        return OUT if len(self.accepted) % 2 else IN
+
+    def _judge(self, change, outcome):
+        self.changes[change.change_id] = change
+        match outcome:
+            case Accepted(revision):
+                assert revision not in self.accepted.values()
+                self.accepted[change.change_id] = revision
+            case NotAccepted(maybe=True):
+                return
+            case _:
+                self.refused.add(change.change_id)
+        now = read_configuration(self.store, CALL_MS)
+        assert now.revision >= self.revision
+        self.revision = now.revision
+        self.seen = {found.name: found.revision for found in now.resources}
+
+
+def test_swap_of_an_unrelated_key_is_untouched(store, clock):
+    assert store.swap('claims/1', 'x', 0, CALL_MS) == Swapped(1)
+    open_log(store, clock).apply(FIRST, 100)
+    assert store.read('claims/1', CALL_MS).value == 'x'
