--- a/cowsliploom/resources/__init__.py
+++ b/cowsliploom/resources/__init__.py
@@ -50,3 +50,5 @@
 from cowsliploom.resources._types import ServiceSpec as ServiceSpec
 from cowsliploom.resources._types import Spec as Spec
 from cowsliploom.resources._types import VersionMoveSpec as VersionMoveSpec
+from cowsliploom.resources._values import is_address as is_address
+from cowsliploom.resources._values import is_name as is_name
--- a/cowsliploom/resources/tests/test_log.py
+++ b/cowsliploom/resources/tests/test_log.py
@@ -388,7 +388,7 @@
     history.check()
 
 
-class History:
+class History:  # noqa: WPS230 (one for each thing that is judged)
     """Drive operators on one store and judge them against a register."""
 
     def __init__(self, store, clock):
