Add the baseline router and the thin path of the full one

Cause: the entry daemon needs a router to drive before the policy stands. The thin Router is the baseline itself for now: both take the same events, so the daemon's wiring does not change when the policy arrives.

--- a/cowsliploom/routing/__init__.py
+++ b/cowsliploom/routing/__init__.py
@@ -1,5 +1,6 @@
 """One query: plan, replica choice, hedging, limits, warm-up and coverage."""
 
+from cowsliploom.routing._counters import RouterCounters as RouterCounters
 from cowsliploom.routing._messages import AnswerQuery as AnswerQuery
 from cowsliploom.routing._messages import AnswerRun as AnswerRun
 from cowsliploom.routing._messages import CallFailed as CallFailed
@@ -7,8 +8,10 @@
 from cowsliploom.routing._messages import CallerLeft as CallerLeft
 from cowsliploom.routing._messages import CancelSent as CancelSent
 from cowsliploom.routing._messages import ConfigurationApplied as ConfigurationApplied
+from cowsliploom.routing._messages import Command as Command
 from cowsliploom.routing._messages import Coverage as Coverage
 from cowsliploom.routing._messages import EntriesCounted as EntriesCounted
+from cowsliploom.routing._messages import Event as Event
 from cowsliploom.routing._messages import FailureStep as FailureStep
 from cowsliploom.routing._messages import HealthReported as HealthReported
 from cowsliploom.routing._messages import LoadReported as LoadReported
@@ -18,6 +21,7 @@
 from cowsliploom.routing._messages import RecordSample as RecordSample
 from cowsliploom.routing._messages import RefusalCause as RefusalCause
 from cowsliploom.routing._messages import RefuseCaller as RefuseCaller
+from cowsliploom.routing._messages import RetireConnections as RetireConnections
 from cowsliploom.routing._messages import RunArrived as RunArrived
 from cowsliploom.routing._messages import RunReplied as RunReplied
 from cowsliploom.routing._messages import SearchReplied as SearchReplied
@@ -27,3 +31,6 @@
 from cowsliploom.routing._messages import SharesChanged as SharesChanged
 from cowsliploom.routing._messages import Tick as Tick
 from cowsliploom.routing._messages import VersionShare as VersionShare
+from cowsliploom.routing._naive import NaiveRouter as NaiveRouter
+from cowsliploom.routing._router import Router as Router
+from cowsliploom.routing._settings import RouterSettings as RouterSettings
--- a/cowsliploom/routing/_messages.py
+++ b/cowsliploom/routing/_messages.py
@@ -237,6 +237,13 @@
     server: str
 
 
+@dataclass(frozen=True, slots=True)
+class RetireConnections:
+    """Close a server's idle connections; the next call opens a fresh one."""
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class Coverage:
     """Tell how much of the pinned snapshot an answer covers, in documents."""
@@ -326,6 +333,7 @@
     SendSearch
     | SendRun
     | CancelSent
+    | RetireConnections
     | AnswerQuery
     | AnswerRun
     | RefuseCaller
--- /dev/null
+++ b/cowsliploom/routing/_snapshots.py
@@ -0,0 +1,195 @@
+"""Which server holds which index snapshot, and the snapshot a query pins."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+
+from cowsliploom.protocol import DocRange, HealthReport, SnapshotInfo
+
+SNAPSHOTS_KEPT = 8  # per service; older ones are no longer pinned by any query
+
+CanAnswer = Callable[[str, int], bool]
+Shard = tuple[str, tuple[DocRange, ...]]
+ShardMap = Mapping[int, SnapshotInfo]
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """Hold the snapshots of one server in one incarnation.
+
+    Parameters
+    ----------
+    incarnation : str
+        Incarnation that reported the snapshots.
+    snapshots : frozenset of int
+        Snapshots that the server can answer from.
+    gone : frozenset of int
+        Snapshots that this incarnation refused; a late report does not bring
+        them back.
+    """
+
+    incarnation: str = ''
+    snapshots: frozenset[int] = frozenset()
+    gone: frozenset[int] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotTable:
+    """Hold what backend servers have reported of their snapshots.
+
+    Parameters
+    ----------
+    holdings : mapping of str to Holding
+        Snapshots by server.
+    shards : mapping of str to mapping of int to SnapshotInfo
+        Shard map by service and snapshot; kept when the server is lost.
+    """
+
+    holdings: Mapping[str, Holding] = field(default_factory=dict)
+    shards: Mapping[str, ShardMap] = field(default_factory=dict)
+
+    def holds(self, server: str, snapshot: int) -> bool:
+        """Tell whether a server can answer from a snapshot."""
+        holding = self.holdings.get(server)
+        return holding is not None and snapshot in holding.snapshots
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Pin one snapshot for a query.
+
+    Parameters
+    ----------
+    snapshot : int
+        Snapshot that every reply must come from.
+    total_docs : int
+        Documents in the whole index at the snapshot.
+    shards : tuple of (str, tuple of DocRange)
+        Services to ask, each with the documents of its shard.
+    """
+
+    snapshot: int
+    total_docs: int
+    shards: tuple[Shard, ...]
+
+
+def take_report(table: SnapshotTable, report: HealthReport) -> SnapshotTable:
+    """Take a server's health report into the table.
+
+    Returns
+    -------
+    SnapshotTable
+        The same table where the report says nothing new.
+    """
+    known = table.holdings.get(report.server, Holding())
+    reported = frozenset(info.snapshot for info in report.snapshots)
+    gone = known.gone if known.incarnation == report.incarnation else frozenset()
+    holding = Holding(report.incarnation, reported - gone, gone)
+    shards = _take_shards(table.shards, report.snapshots)
+    if holding == known and shards is table.shards:
+        return table
+    return SnapshotTable({**table.holdings, report.server: holding}, shards)
+
+
+def drop_snapshot(table: SnapshotTable, server: str, snapshot: int) -> SnapshotTable:
+    """Note that a server no longer answers from a snapshot."""
+    known = table.holdings.get(server, Holding())
+    if snapshot in known.gone:
+        return table
+    holding = replace(
+        known,
+        snapshots=known.snapshots - {snapshot},
+        gone=known.gone | {snapshot},
+    )
+    return replace(table, holdings={**table.holdings, server: holding})
+
+
+def pin_snapshot(
+    table: SnapshotTable, services: tuple[str, ...], can_answer: CanAnswer
+) -> Plan | None:
+    """Pin the newest snapshot that every service can answer.
+
+    Parameters
+    ----------
+    table : SnapshotTable
+        Reported snapshots.
+    services : tuple of str
+        Services of the search.
+    can_answer : callable
+        Tells whether a service has a usable server that holds a snapshot.
+
+    Returns
+    -------
+    Plan or None
+        The snapshot with the best coverage, the newest of equals; None where no
+        service can answer from any.
+    """
+    best: Plan | None = None
+    best_ratio = float()
+    for snapshot in _list_snapshots(table, services):
+        plan = _plan_snapshot(table, services, snapshot)
+        covered = _count_reachable(plan, can_answer)
+        ratio = covered / max(plan.total_docs, 1)
+        if ratio > best_ratio:
+            best = plan
+            best_ratio = ratio
+        if best_ratio >= 1:
+            break
+    return best
+
+
+def _take_shards(
+    shards: Mapping[str, ShardMap], infos: tuple[SnapshotInfo, ...]
+) -> Mapping[str, ShardMap]:
+    for info in infos:
+        known = shards.get(info.service, {})
+        widest = _widest(known.get(info.snapshot), info)
+        if known.get(info.snapshot) == widest:
+            continue
+        kept = sorted({*known, info.snapshot})[-SNAPSHOTS_KEPT:]
+        if info.snapshot not in kept:
+            continue
+        merged = {**known, info.snapshot: widest}
+        shards = {
+            **shards,
+            info.service: {snapshot: merged[snapshot] for snapshot in kept},
+        }
+    return shards
+
+
+def _widest(known: SnapshotInfo | None, info: SnapshotInfo) -> SnapshotInfo:
+    """Join two reports of one shard; replicas may hold different parts of it."""
+    if known is None or known == info:
+        return info
+    ranges = known.ranges
+    if info.ranges != ranges:
+        ranges = tuple(dict.fromkeys((*ranges, *info.ranges)))
+    total_docs = max(known.total_docs, info.total_docs)
+    return replace(known, ranges=ranges, total_docs=total_docs)
+
+
+def _list_snapshots(table: SnapshotTable, services: tuple[str, ...]) -> tuple[int, ...]:
+    found: set[int] = set()
+    for service in services:
+        found.update(table.shards.get(service, ()))
+    return tuple(sorted(found, reverse=True))
+
+
+def _plan_snapshot(
+    table: SnapshotTable, services: tuple[str, ...], snapshot: int
+) -> Plan:
+    shards: list[Shard] = []
+    total_docs = 0
+    for service in services:
+        info = table.shards.get(service, {}).get(snapshot)
+        shards.append((service, info.ranges if info else ()))
+        total_docs = max(total_docs, info.total_docs if info else 0)
+    return Plan(snapshot, total_docs, tuple(shards))
+
+
+def _count_reachable(plan: Plan, can_answer: CanAnswer) -> int:
+    return sum(
+        span.end - span.first
+        for service, ranges in plan.shards
+        if ranges and can_answer(service, plan.snapshot)
+        for span in ranges
+    )
