--- a/cowsliploom/routing/_messages.py
+++ b/cowsliploom/routing/_messages.py
@@ -239,7 +239,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RetireConnections:
-    """Replace the connections to a backend server before their next use."""
+    """Close a server's idle connections; the next call opens a fresh one."""
 
     server: str
 
