Add the backend server stand-in

Decisions (slots, queue, cold start, leaving, connection cost, run log) are a model without sockets, threads or clocks; the shell gives it time and holds the threads. Weighed: one thread per connection, which cheroot does not need (idle connections sit in its selector), against threads for slots, queue and a few spare ones; the latter lets one process host dozens of servers. cheroot shows no way to count, refuse or stop reading connections, so HTTPConnection and the server are subclassed for just that.

--- /dev/null
+++ b/cowsliploom/standins/_backend.py
@@ -0,0 +1,218 @@
+"""Handlers of the backend server stand-in."""
+
+import threading
+import uuid
+from http import HTTPStatus
+
+from cowsliploom.ports import Clock
+from cowsliploom.protocol import (
+    CallRefusal,
+    CancelCall,
+    RunCall,
+    SearchCall,
+    SnapshotInfo,
+)
+from cowsliploom.standins._connections import CountedServer
+from cowsliploom.standins._http import (
+    DropConnection,
+    Reply,
+    Request,
+    decode_body,
+    json_reply,
+    problem_reply,
+)
+from cowsliploom.standins._replies import Replies, refusal_reply
+from cowsliploom.standins._reports import Reports
+from cowsliploom.standins._server_model import (
+    ADMIN_CONNECTIONS,
+    Call,
+    ServerModel,
+    Ticket,
+)
+from cowsliploom.standins._server_settings import (
+    ColdTurn,
+    ServerFaults,
+    ServerSettings,
+    Silence,
+)
+
+MS_PER_S = 1000
+SPARE_THREADS = 6  # refusals, cancels, health, load and administration
+
+
+class Backend:
+    """Serve one backend server stand-in on its own address.
+
+    Parameters
+    ----------
+    settings : ServerSettings
+        What the server is.
+    clock : Clock
+        Its ``now_ms`` times calls and faults.
+    """
+
+    def __init__(self, settings: ServerSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.model = ServerModel(settings, uuid.uuid4().hex)
+        self._reports = Reports(self.model)
+        self.server = CountedServer(
+            settings.listen,
+            self.answer,
+            settings.slots + settings.queue_max + SPARE_THREADS,
+            self,
+            ADMIN_CONNECTIONS,
+        )
+        self._lock = threading.Lock()
+        self._wakes: dict[int, threading.Event] = {}
+        self._replies = Replies(self.model)
+        self._silent_up_to = 0
+
+    def __enter__(self) -> 'Backend':
+        """Listen, and serve in the background."""
+        self.server.__enter__()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        """Stop serving and close all connections."""
+        self.server.__exit__(*exc)
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` as bound."""
+        return self.server.address
+
+    def open_connection(self) -> bool:
+        """Take a new connection, or refuse it over the limit."""
+        now_ms = self.clock.now_ms()
+        self.server.close_silent_before(now_ms - self.model.faults.silent_hold_ms)
+        with self._lock:
+            return self.model.open_connection(now_ms)
+
+    def close_connection(self) -> None:
+        """Forget a connection that was taken."""
+        with self._lock:
+            self.model.close_connection()
+
+    def leave(self) -> None:
+        """Begin to leave."""
+        with self._lock:
+            self.model.leave(self.clock.now_ms())
+
+    def idle(self) -> bool:
+        """Tell whether no call is in work or waiting."""
+        with self._lock:
+            return self.model.calls == 0
+
+    def answer(self, request: Request) -> Reply:
+        """Answer one request; raise `DropConnection` where a fault says so."""
+        if request.path.startswith('/admin/'):
+            with self._lock:
+                return self._answer_admin(request)
+        self._drop_if_over_limit(request)
+        if self._is_silent(request):
+            self._go_silent(request)
+        return self._answer_call(request)
+
+    def _answer_call(self, request: Request) -> Reply:
+        match (request.method, request.path):
+            case ('POST', '/v1/search'):
+                return self._serve(decode_body(request, SearchCall), request)
+            case ('POST', '/v1/run'):
+                return self._serve(decode_body(request, RunCall), request)
+            case ('POST', '/v1/cancel'):
+                return self._cancel(decode_body(request, CancelCall))
+            case ('GET', '/v1/health'):
+                with self._lock:
+                    return json_reply(self._reports.health(self.clock.now_ms()))
+            case ('GET', '/v1/load'):
+                with self._lock:
+                    return json_reply(self._reports.load(self.clock.now_ms()))
+        return problem_reply(HTTPStatus.NOT_FOUND, request.path)
+
+    def _answer_admin(self, request: Request) -> Reply:
+        match (request.method, request.path):
+            case ('GET', '/admin/runlog'):
+                return json_reply(self.model.journal.run_log)
+            case ('GET', '/admin/counters'):
+                return json_reply(self.model.journal.counters)
+            case ('PUT', '/admin/faults'):
+                self.model.faults = decode_body(request, ServerFaults)
+                self._silent_up_to = self.server.last_number
+                return json_reply(self.model.faults)
+            case ('PUT', '/admin/snapshots'):
+                shape = tuple[SnapshotInfo, ...]
+                self.model.snapshots = decode_body(request, shape)
+                return json_reply(self.model.snapshots)
+            case ('PUT', '/admin/cold'):
+                turn = decode_body(request, ColdTurn)
+                fresh = uuid.uuid4().hex
+                kept = self.model.incarnation
+                self.model.turn_cold(fresh if turn.new_incarnation else kept)
+                return json_reply(turn)
+            case ('PUT', '/admin/leave'):
+                self.model.leave(self.clock.now_ms())
+                return json_reply(self.model.state)
+        return problem_reply(HTTPStatus.NOT_FOUND, request.path)
+
+    def _drop_if_over_limit(self, request: Request) -> None:
+        connection = self.server.connection_from(request.peer_port)
+        if connection and not connection.counted:
+            raise DropConnection
+
+    def _is_silent(self, request: Request) -> bool:
+        silent = self.model.faults.silent
+        if silent is not Silence.EXISTING:
+            return silent is Silence.ALL
+        connection = self.server.connection_from(request.peer_port)
+        return connection is not None and connection.number <= self._silent_up_to
+
+    def _go_silent(self, request: Request) -> None:
+        """Leave the connection open, and never answer on it."""
+        connection = self.server.connection_from(request.peer_port)
+        if connection:
+            connection.silent_since_ms = self.clock.now_ms()
+        with self._lock:
+            self.model.journal.counters.silenced += 1
+        raise DropConnection
+
+    def _serve(self, call: Call, request: Request) -> Reply:
+        with self._lock:
+            ticket = self.model.admit(call, self.clock.now_ms())
+            if isinstance(ticket, CallRefusal):
+                return refusal_reply(ticket)
+            self._wakes[id(ticket)] = threading.Event()
+        reply = self._work(ticket)
+        if ticket.work and ticket.work.late:
+            threading.Event().wait(self.model.faults.late_ms / MS_PER_S)
+        if self.model.faults.silent is Silence.ANSWERS:
+            self._go_silent(request)
+        return reply
+
+    def _work(self, ticket: Ticket) -> Reply:
+        wake = self._wakes[id(ticket)]
+        if ticket.work is None:
+            wake.wait(self._left_ms(ticket) / MS_PER_S)
+        with self._lock:
+            wake.clear()
+            if ticket.work is None:
+                self._wakes.pop(id(ticket))
+                return refusal_reply(self.model.give_up(ticket))
+        if not ticket.cancelled:
+            wake.wait(ticket.work.duration_ms / MS_PER_S)
+        with self._lock:
+            self._wakes.pop(id(ticket))
+            following = self.model.finish(ticket, self.clock.now_ms())
+            if following:
+                self._wakes[id(following)].set()
+            return self._replies.end(ticket)
+
+    def _left_ms(self, ticket: Ticket) -> float:
+        return max(0, ticket.deadline_ms - self.clock.now_ms())
+
+    def _cancel(self, call: CancelCall) -> Reply:
+        with self._lock:
+            ticket = self.model.cancel(call.request_id)
+            if ticket:
+                self._wakes[id(ticket)].set()
+        return json_reply(call)
--- a/cowsliploom/standins/_http.py
+++ b/cowsliploom/standins/_http.py
@@ -199,8 +199,10 @@
 
 
 def wait_for_signal() -> None:
-    """Return after SIGTERM or SIGINT."""
+    """Return after SIGTERM or SIGINT; a second one then ends the process."""
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     signal.signal(signal.SIGINT, lambda *_: stopped.set())
     stopped.wait()
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
--- /dev/null
+++ b/cowsliploom/standins/_server_log.py
@@ -0,0 +1,103 @@
+"""What a backend server stand-in remembers of its calls."""
+
+from dataclasses import dataclass, field
+
+from cowsliploom.protocol import DocRange, RefusalReason, RunCall, SnapshotInfo
+
+
+@dataclass(frozen=True, slots=True)
+class RunEntry:
+    """Record a non-idempotent request that started."""
+
+    order: int
+    request_id: str
+    payload: str
+    started_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class SearchEntry:
+    """Record a search that was served."""
+
+    request_id: str
+    snapshot: int
+    ranges: tuple[DocRange, ...]
+
+
+@dataclass(slots=True)
+class RunLog:
+    """Hold all runs and all served searches (``GET /admin/runlog``)."""
+
+    server: str
+    service: str
+    runs: list[RunEntry] = field(default_factory=list)
+    searches: list[SearchEntry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ServerCounters:
+    """Count what happened on a server (``GET /admin/counters``).
+
+    ``calls_while_leaving`` came in the grace, ``calls_after_grace`` later;
+    ``calls_cold_max`` is the most calls at once that a cold server had taken,
+    the one that made it fall over included.
+    """
+
+    received: int = 0
+    served: int = 0
+    failed: int = 0
+    refused: dict[RefusalReason, int] = field(default_factory=dict)
+    busy_max: int = 0
+    connections_opened: int = 0
+    connections_now: int = 0
+    connections_now_max: int = 0
+    connections_closed_over: int = 0
+    overruns: int = 0
+    calls_cold_max: int = 0
+    cancelled: int = 0
+    duplicate_runs: int = 0
+    silenced: int = 0
+    calls_while_leaving: int = 0
+    calls_after_grace: int = 0
+
+
+class Journal:
+    """Log runs and searches of one server, and count.
+
+    Parameters
+    ----------
+    server, service : str
+        Names that the run log bears.
+    """
+
+    def __init__(self, server: str, service: str) -> None:
+        self.counters = ServerCounters()
+        self.run_log = RunLog(server, service)
+        self._payloads: set[str] = set()
+
+    def run_started(self, call: RunCall, now_ms: float) -> None:
+        """Log a run; the same payload once more is a duplicate."""
+        if call.payload in self._payloads:
+            self.counters.duplicate_runs += 1
+        self._payloads.add(call.payload)
+        runs = self.run_log.runs
+        runs.append(RunEntry(len(runs) + 1, call.request_id, call.payload, now_ms))
+
+    def search_served(self, request_id: str, info: SnapshotInfo) -> None:
+        """Log a search that was served."""
+        entry = SearchEntry(request_id, info.snapshot, info.ranges)
+        self.run_log.searches.append(entry)
+
+    def refused(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        counts = self.counters.refused
+        counts[reason] = counts.get(reason, 0) + 1
+
+    def calls_cold(self, calls: int) -> None:
+        """Count the calls at once on a cold server."""
+        counters = self.counters
+        counters.calls_cold_max = max(counters.calls_cold_max, calls)
+
+    def calls_busy(self, busy: int) -> None:
+        """Count the busy slots."""
+        self.counters.busy_max = max(self.counters.busy_max, busy)
--- /dev/null
+++ b/cowsliploom/standins/backend.py
@@ -0,0 +1,143 @@
+"""Stand-in of backend servers."""
+
+import sys
+import time
+from collections.abc import Sequence
+from contextlib import ExitStack
+from pathlib import Path
+
+import click
+import msgspec
+
+from cowsliploom.adapters import SystemClock
+from cowsliploom.standins._backend import MS_PER_S, Backend
+from cowsliploom.standins._http import (
+    NamedAddress,
+    announce,
+    split_address,
+    wait_for_signal,
+)
+from cowsliploom.standins._server_settings import ServerSettings, parse_snapshot
+
+POLL_S = 0.02
+EXIT_USAGE = 2
+COUNTS = ('slots', 'connections_max', 'cold_allowance', 'cold_step_calls')
+FLOAT_SUFFIXES = ('-ms', '-sigma')
+
+
+def read_settings_file(path: Path) -> list[ServerSettings]:
+    """Read a YAML or JSON list of server settings."""
+    settings = msgspec.yaml.decode(path.read_bytes(), type=list[ServerSettings])
+    if not settings:
+        raise ValueError('servers-file: got an empty list, expected servers')
+    return settings
+
+
+def check_settings(settings: Sequence[ServerSettings]) -> None:
+    """Raise ``ValueError`` naming the first value that cannot be served."""
+    for each in settings:
+        split_address(each.listen)
+        for name in COUNTS:
+            count = getattr(each, name)
+            if count < 1:
+                raise ValueError(f'{name}: got {count}, expected at least 1')
+
+
+def drain(backends: Sequence[Backend]) -> None:
+    """Leave, and return when the grace is over and all are idle."""
+    for backend in backends:
+        backend.leave()
+    grace_ms = max(each.settings.leaving_grace_ms for each in backends)
+    time.sleep(grace_ms / MS_PER_S)
+    while not all(each.idle() for each in backends):
+        time.sleep(POLL_S)
+
+
+def serve(settings: Sequence[ServerSettings]) -> None:
+    """Serve until a signal, then drain; a second signal ends the process."""
+    clock = SystemClock()
+    with ExitStack() as stack:
+        backends = [stack.enter_context(Backend(each, clock)) for each in settings]
+        announce(
+            [NamedAddress(each.settings.server, each.address) for each in backends]
+        )
+        wait_for_signal()
+        drain(backends)
+
+
+def settings_from_flags(flags: dict[str, object]) -> ServerSettings:
+    """Build the settings of one server; raise ``ValueError`` naming a wrong one."""
+    texts = str(flags.pop('snapshots'))
+    service = str(flags['service'])
+    snapshots = tuple(parse_snapshot(service, text) for text in texts.split())
+    return msgspec.convert({**flags, 'snapshots': snapshots}, ServerSettings)
+
+
+def run(servers_file: Path | None, **flags: object) -> None:
+    """Run small fakes of backend servers, for tests and demos.
+
+    Prints {"ready": "host:port", "servers": [...]} when listening. SIGTERM makes
+    them leave: they refuse new work after the grace, finish what they have, and
+    the process exits; a second SIGTERM ends it at once.
+    """
+    try:
+        settings = (
+            read_settings_file(servers_file)
+            if servers_file
+            else [settings_from_flags(flags)]
+        )
+        check_settings(settings)
+    except (ValueError, msgspec.MsgspecError) as error:
+        click.echo(f'cowsliploom-standin-backend: {error}', err=True)
+        sys.exit(EXIT_USAGE)
+    serve(settings)
+
+
+def _flag(name: str, default: str | float, help_text: str) -> click.Option:
+    kind = float if name.endswith(FLOAT_SUFFIXES) else type(default)
+    return click.Option([f'--{name}'], default=default, type=kind, help=help_text)
+
+
+SERVERS_FILE = click.Option(
+    ['--servers-file'],
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help='YAML or JSON list of server settings; the other flags are then unused.',
+)
+FLAGS = (
+    _flag('listen', '127.0.0.1:0', 'Address host:port; port 0: the system chooses.'),
+    _flag('server', 'server-1', 'Name of the server.'),
+    _flag('service', 'service-1', 'Service whose shard it holds.'),
+    _flag('version', 'v1', 'Version that it runs.'),
+    _flag('slots', 2, 'Calls worked on at once.'),
+    _flag('queue-max', 4, 'Calls that may wait for a slot; more are shed.'),
+    _flag('connections-max', 25, 'Connections kept open.'),
+    _flag('connect-cost-ms', 0, 'Work that a new connection costs a slot, in ms.'),
+    _flag(
+        'snapshots',
+        '1:0-1000:1000',
+        'Snapshots held, snapshot:first-end[,first-end]:total_docs, between spaces.',
+    ),
+    _flag('latency-ms', 5, 'Median time of a call, in milliseconds.'),
+    _flag('latency-sigma', 0.3, 'Sigma of the log-normal time of a call.'),
+    _flag('seed', 1, 'Seed of times and faults.'),
+    click.Option(['--cold-start'], is_flag=True, help='Start cold.'),
+    _flag('cold-allowance', 1, 'Calls at once borne when a cold start begins.'),
+    _flag('cold-step-calls', 20, 'Calls served for each further call at once.'),
+    _flag('fall-over-ms', 2000, 'Time of refusing all after an overrun, in ms.'),
+    _flag(
+        'leaving-grace-ms',
+        3000,
+        'Time for which new work is taken after leaving began, in milliseconds.',
+    ),
+)
+
+main = click.Command(
+    'cowsliploom-standin-backend',
+    callback=run,
+    params=[SERVERS_FILE, *FLAGS],
+    help=run.__doc__,
+    context_settings={
+        'auto_envvar_prefix': 'COWSLIPLOOM_STANDIN_BACKEND',
+        'show_default': True,
+    },
+)
--- /dev/null
+++ b/cowsliploom/standins/tests/test_commands.py
@@ -0,0 +1,67 @@
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+import urllib3
+
+from cowsliploom.standins.backend import read_settings_file, settings_from_flags
+
+MODULES = ('cowsliploom.standins.platform', 'cowsliploom.standins.backend')
+
+
+def start(module, *flags):
+    code = f'from {module} import main; main()'
+    return subprocess.Popen(
+        [sys.executable, '-c', code, *flags], stdout=subprocess.PIPE, text=True
+    )
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ('module', 'flags', 'path'),
+    [
+        (MODULES[0], ('--lag-ms', '10'), '/vms'),
+        (MODULES[1], ('--leaving-grace-ms', '0'), '/v1/health'),
+    ],
+)
+def test_program_says_when_it_listens_and_stops_on_sigterm(module, flags, path):
+    with start(module, *flags) as process:
+        ready = json.loads(process.stdout.readline())
+        status = urllib3.request('GET', f'http://{ready["ready"]}{path}').status
+        process.send_signal(signal.SIGTERM)
+        assert (status, process.wait(timeout=20)) == (200, 0)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ('module', 'flags'),
+    [
+        (MODULES[0], ('--listen', 'nowhere')),
+        (MODULES[1], ('--listen', 'nowhere')),
+        (MODULES[1], ('--snapshots', '7')),
+        (MODULES[1], ('--slots', '0')),
+    ],
+)
+def test_wrong_flag_ends_the_program_with_usage_status(module, flags):
+    with start(module, *flags) as process:
+        assert process.wait(timeout=20) == 2
+
+
+def test_flags_make_settings():
+    settings = settings_from_flags(
+        {'server': 'a1', 'service': 'a', 'snapshots': '7:0-10:20 8:0-20:20'}
+    )
+    assert [info.snapshot for info in settings.snapshots] == [7, 8]
+
+
+@pytest.mark.parametrize(
+    ('text', 'problem'),
+    [('[]', 'empty list'), ('- {server: a}', 'service'), ('- {server: 1}', 'server')],
+)
+def test_wrong_servers_file_is_named(tmp_path, text, problem):
+    path = tmp_path / 'servers.yaml'
+    path.write_text(text)
+    with pytest.raises(ValueError, match=problem):
+        read_settings_file(path)
