Log every accepted search on the backend stand-in

Cause: extra load and coverage are to be recounted from run logs, and a log of served searches alone hides hedges that were cancelled.

--- a/cowsliploom/standins/_server_log.py
+++ b/cowsliploom/standins/_server_log.py
@@ -17,16 +17,18 @@
 
 @dataclass(frozen=True, slots=True)
 class SearchEntry:
-    """Record a search that was served."""
+    """Record a search that was accepted; ``served`` when its hits were returned."""
 
     request_id: str
     snapshot: int
     ranges: tuple[DocRange, ...]
+    total_docs: int
+    served: bool
 
 
 @dataclass(slots=True)
 class RunLog:
-    """Hold all runs and all served searches (``GET /admin/runlog``)."""
+    """Hold all runs and all accepted searches (``GET /admin/runlog``)."""
 
     server: str
     service: str
@@ -83,9 +85,11 @@
         runs = self.run_log.runs
         runs.append(RunEntry(len(runs) + 1, call.request_id, call.payload, now_ms))
 
-    def search_served(self, request_id: str, info: SnapshotInfo) -> None:
-        """Log a search that was served."""
-        entry = SearchEntry(request_id, info.snapshot, info.ranges)
+    def search_ended(self, request_id: str, info: SnapshotInfo, served: bool) -> None:
+        """Log a search that was accepted."""
+        entry = SearchEntry(
+            request_id, info.snapshot, info.ranges, info.total_docs, served
+        )
         self.run_log.searches.append(entry)
 
     def refused(self, reason: RefusalReason) -> None:
--- a/cowsliploom/standins/_server_model.py
+++ b/cowsliploom/standins/_server_model.py
@@ -102,6 +102,7 @@
         """Drop a call that was cancelled or expired before it got a slot."""
         if ticket in self._queue:
             self._queue.remove(ticket)
+        self._log_end(ticket)
         self._tickets.pop(ticket.call.request_id, None)
         return self.refuse(ticket.call, RefusalReason.EXPIRED)
 
@@ -220,16 +221,17 @@
             _stop_at_deadline(ticket, ticket.work, now_ms)
 
     def _log_end(self, ticket: Ticket) -> None:
-        if ticket.dropped or ticket.work is None:
-            return
-        if ticket.work.fails:
+        failed = ticket.work is not None and ticket.work.fails
+        served = not (failed or ticket.dropped or ticket.work is None)
+        if ticket.snapshot:
+            self.journal.search_ended(
+                ticket.call.request_id, ticket.snapshot, served=served
+            )
+        if served:
+            self.journal.counters.served += 1
+            self._warm_up()
+        elif failed:
             self.journal.counters.failed += 1
-            return
-        self.journal.counters.served += 1
-        self._warm_up()
-        info = ticket.snapshot
-        if info:
-            self.journal.search_served(ticket.call.request_id, info)
 
     def _warm_up(self) -> None:
         if self.cold:
