--- a/cowsliploom/routing/__init__.py
+++ b/cowsliploom/routing/__init__.py
@@ -28,6 +28,7 @@
 from cowsliploom.routing._messages import SendRun as SendRun
 from cowsliploom.routing._messages import SendSearch as SendSearch
 from cowsliploom.routing._messages import ServersLeaving as ServersLeaving
+from cowsliploom.routing._messages import ServersWarm as ServersWarm
 from cowsliploom.routing._messages import SharesChanged as SharesChanged
 from cowsliploom.routing._messages import Tick as Tick
 from cowsliploom.routing._messages import VersionShare as VersionShare
--- /dev/null
+++ b/cowsliploom/routing/_choice.py
@@ -0,0 +1,108 @@
+"""Choice of the server for one call."""
+
+from collections.abc import Iterable
+
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._replica import CHOICES, pick_two
+from cowsliploom.routing._snapshots import SnapshotTable
+from cowsliploom.routing._tracks import ServerTrack, ServiceTrack, Work
+from cowsliploom.routing._view import expected_cost
+
+
+class ReplicaChoice:
+    """Choose servers by version share, data centre, limits and cost.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings and generator.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self.table = SnapshotTable()
+
+    def choose(self, work: Work, now_ms: float) -> ServerTrack | None:
+        """Return the server for one more call, or None when none has room."""
+        service = work.service
+        ready = self._list_ready(work, now_ms)
+        move = service.move
+        if move is None:
+            return self._cheapest(ready, service.typical_ms, now_ms)
+        newer = [server for server in ready if server.version == move.to_version]
+        if newer and move.allows_new:
+            return self._cheapest(newer, service.typical_ms, now_ms)
+        if move.share >= 1 and self._awaits_new(work, now_ms):
+            return None
+        older = [server for server in ready if server.version != move.to_version]
+        return self._cheapest(older, service.typical_ms, now_ms)
+
+    def may_serve(
+        self,
+        service: ServiceTrack,
+        snapshot: int | None,
+        now_ms: float,
+        tried: tuple[str, ...] = (),
+    ) -> bool:
+        """Tell whether a server of the service may answer, now or when it has room."""
+        move = service.move
+        return any(
+            server.is_reachable(now_ms)
+            and server.name not in tried
+            and (snapshot is None or self.table.holds(server.name, snapshot))
+            and (move is None or move.admits(server.version))
+            for server in service.servers
+        )
+
+    def parallel_calls(self, service: ServiceTrack, now_ms: float) -> float:
+        """Return the calls that the service takes at once from this entry VM."""
+        return sum(
+            1 if server.is_cold else server.limiter.limit
+            for server in service.servers
+            if server.is_reachable(now_ms)
+        )
+
+    def _list_ready(self, work: Work, now_ms: float) -> list[ServerTrack]:
+        snapshot = work.snapshot
+        typical_ms = work.service.typical_ms
+        fresh_ms = self._context.settings.load_fresh_ms
+        holds = self.table.holds
+        return [
+            server
+            for server in work.service.servers
+            if server.is_reachable(now_ms)
+            and server.has_room(now_ms, typical_ms, fresh_ms)
+            and server.name not in work.tried
+            and (snapshot is None or holds(server.name, snapshot))
+        ]
+
+    def _awaits_new(self, work: Work, now_ms: float) -> bool:
+        """Tell whether a server of the new version may answer later."""
+        move = work.service.move
+        return move is not None and any(
+            server.version == move.to_version
+            and server.is_reachable(now_ms)
+            and server.name not in work.tried
+            for server in work.service.servers
+        )
+
+    def _cheapest(
+        self, ready: Iterable[ServerTrack], typical_ms: float, now_ms: float
+    ) -> ServerTrack | None:
+        servers = list(ready)
+        if len(servers) > 1:
+            servers = [server for server in servers if server.local] or servers
+        if not servers:
+            return None
+        if len(servers) > CHOICES:
+            first, second = pick_two(len(servers), self._context.generator)
+            servers = [servers[first], servers[second]]
+        if len(servers) == 1:
+            return servers[0]
+        costs = [_cost(server, typical_ms, now_ms) for server in servers]
+        return servers[costs[1] < costs[0]]
+
+
+def _cost(server: ServerTrack, typical_ms: float, now_ms: float) -> float:
+    cost = expected_cost(server.view, server.in_flight, typical_ms, now_ms)
+    return cost * server.preference
--- /dev/null
+++ b/cowsliploom/routing/_context.py
@@ -0,0 +1,86 @@
+"""What the router's components share within one step."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from cowsliploom.protocol import Ran
+from cowsliploom.routing._budget import TokenBudget
+from cowsliploom.routing._messages import (
+    Command,
+    RecordSample,
+    RefusalCause,
+    RefuseCaller,
+    RetireConnections,
+)
+from cowsliploom.routing._settings import RouterSettings
+from cowsliploom.routing._tracks import Call, ServerTrack, Work
+
+RETRY_AFTER_MIN_MS = 100.0  # sooner retries would only meet the same queue
+
+
+@dataclass(slots=True)
+class Context:
+    """Hold identity, settings, seeded randomness and the step's outcome.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        The entry VM and its data centre.
+    settings : RouterSettings
+        Settings.
+    generator : random.Random
+        Seeded generator of every random choice.
+    budget : TokenBudget
+        Extra sub-requests over all services.
+    """
+
+    name: str
+    data_centre: str
+    settings: RouterSettings
+    generator: random.Random
+    budget: TokenBudget
+    commands: list[Command] = field(default_factory=list)
+    lost_works: list[Work] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+
+    def count(self, name: str) -> None:
+        """Raise a counter by one."""
+        self.counts[name] += 1
+
+    def refuse(
+        self,
+        query_id: str,
+        cause: RefusalCause,
+        step: str,
+        ran: Ran = Ran.NO,
+        peer: str = '',
+        retry_after_ms: float = RETRY_AFTER_MIN_MS,
+    ) -> None:
+        """Refuse a caller."""
+        self.count('refusals')
+        wait_ms = max(RETRY_AFTER_MIN_MS, retry_after_ms)
+        self.commands.append(RefuseCaller(query_id, cause, step, peer, ran, wait_ms))
+
+    def record(self, call: Call, now_ms: float, succeeded: bool) -> None:
+        """Give a finished call as evidence on the server's version."""
+        self.commands.append(
+            RecordSample(
+                now_ms,
+                call.work.service.name,
+                call.work.parent.route,
+                call.server.version,
+                call.server.name,
+                now_ms - call.sent_ms,
+                succeeded,
+                call.is_cold,
+            )
+        )
+
+    def retire(self, server: ServerTrack, now_ms: float) -> None:
+        """Close a server's idle connections, at most once an interval."""
+        if now_ms - server.retired_ms < self.settings.retire_interval_ms:
+            return
+        server.retired_ms = now_ms
+        self.count('silent_connections')
+        self.commands.append(RetireConnections(server.name))
--- /dev/null
+++ b/cowsliploom/routing/_dispatcher.py
@@ -0,0 +1,207 @@
+"""Sending of calls: at once where a server has room, else from a queue."""
+
+from cowsliploom.protocol import RunCall, SearchCall
+from cowsliploom.routing._admission import fits, note_expired, note_served
+from cowsliploom.routing._budget import earn, spend
+from cowsliploom.routing._choice import ReplicaChoice
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._messages import CancelSent, SendRun, SendSearch
+from cowsliploom.routing._outcomes import Outcomes
+from cowsliploom.routing._queue import Waiting
+from cowsliploom.routing._shares import count_call
+from cowsliploom.routing._tracks import (
+    Attempt,
+    Call,
+    OpenQuery,
+    ServerTrack,
+    ServiceTrack,
+    Work,
+)
+
+OVERLOAD_MS = 100.0  # a shed call bars hedges and retries for this time
+RECENT_CALLS_MAX = 20_000  # ended calls remembered to tell late replies
+
+
+class Dispatcher:
+    """Own the calls in flight and the queues of the services.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings, counters and commands.
+    choice : ReplicaChoice
+        Choice of the server.
+    outcomes : Outcomes
+        Learning from calls.
+    """
+
+    def __init__(
+        self, context: Context, choice: ReplicaChoice, outcomes: Outcomes
+    ) -> None:
+        self._context = context
+        self._choice = choice
+        self._outcomes = outcomes
+        self._order = 0
+        self._ended: dict[str, Call] = {}
+        self.calls: dict[str, Call] = {}
+        self.backlogged: dict[str, ServiceTrack] = {}
+
+    def place(self, work: Work, now_ms: float, attempt: Attempt) -> None:
+        """Send a request at once if a server has room; else let it wait."""
+        service = work.service
+        server = None if len(service.queue) else self._choice.choose(work, now_ms)
+        if server is not None:
+            self.send(work, server, now_ms, attempt)
+        elif self._may_serve(work, now_ms):
+            self._enqueue(work, attempt)
+        elif not work.calls:
+            self._context.lost_works.append(work)
+
+    def wait(self, work: Work) -> None:
+        """Let a shed request wait for the limit that fell because of it."""
+        self._enqueue(work, Attempt.RETRY)
+
+    def hedge(self, work: Work, now_ms: float) -> bool:
+        """Send a second attempt if another replica has room; tell whether."""
+        server = self._choice.choose(work, now_ms)
+        if server is None:
+            return False
+        self.pay(work.service)
+        work.is_hedged = True
+        self.send(work, server, now_ms, Attempt.HEDGE)
+        return True
+
+    def drain(self, service: ServiceTrack, now_ms: float) -> None:
+        """Send waiting requests of a service while servers have room."""
+        queue = service.queue
+        while len(queue):
+            work = queue.peek().work
+            if self._is_over(work, now_ms):
+                queue.pop()
+                self._context.lost_works.append(work)
+                continue
+            server = self._choice.choose(work, now_ms)
+            if server is None:
+                return
+            queue.pop()
+            service.estimate = note_served(service.estimate)
+            self.send(work, server, now_ms, work.attempt)
+        self.backlogged.pop(service.name, None)
+
+    def drain_all(self, now_ms: float) -> None:
+        """Send waiting requests of all services."""
+        for service in tuple(self.backlogged.values()):
+            self.drain(service, now_ms)
+
+    def send(
+        self, work: Work, server: ServerTrack, now_ms: float, attempt: Attempt
+    ) -> None:
+        """Send one call."""
+        parent = work.parent
+        service = work.service
+        call_id = f'{parent.name}.{parent.attempts}'
+        parent.attempts += 1
+        call = Call(call_id, work, server, now_ms, server.is_cold)
+        self.calls[call_id] = call
+        work.calls.append(call)
+        work.tried = (*work.tried, server.name)
+        server.in_flight += 1
+        server.sent_ms = now_ms
+        if service.move is not None:
+            service.move = count_call(service.move, server.version)
+        self._context.counts[attempt] += 1
+        self._context.commands.append(_command(call, now_ms))
+
+    def end(self, call: Call) -> None:
+        """Take a call out of flight, and remember it for late events."""
+        self.calls.pop(call.call_id, None)
+        call.server.in_flight -= 1
+        call.work.calls.remove(call)
+        self._ended[call.call_id] = call
+        if len(self._ended) > RECENT_CALLS_MAX:
+            self._ended.pop(next(iter(self._ended)))
+
+    def cancel(self, call: Call, now_ms: float) -> None:
+        """Cancel a call whose answer is no longer wanted."""
+        self.end(call)
+        self._context.counts['cancels'] += 1
+        self._context.commands.append(CancelSent(call.call_id, call.server.name))
+        self._outcomes.slow(call, now_ms)
+
+    def find_ended(self, call_id: str) -> Call | None:
+        """Return an ended call once, for an event that came late."""
+        return self._ended.pop(call_id, None)
+
+    def earn(self, services: list[ServiceTrack]) -> None:
+        """Earn budget for the first attempts of one query."""
+        context = self._context
+        context.budget = earn(context.budget, len(services))
+        for service in services:
+            service.budget = earn(service.budget, 1)
+
+    def pay(self, service: ServiceTrack) -> None:
+        """Pay for one hedge or retry."""
+        self._context.budget = spend(self._context.budget)
+        service.budget = spend(service.budget)
+
+    def may_add_load(self, work: Work, now_ms: float) -> bool:
+        """Tell whether a hedge or retry is allowed: budget, time and no overload."""
+        service = work.service
+        return (
+            self._context.budget.may_spend
+            and service.budget.may_spend
+            and not self.is_overloaded(service, now_ms)
+            and work.deadline_ms - now_ms >= service.typical_ms
+        )
+
+    def is_overloaded(self, service: ServiceTrack, now_ms: float) -> bool:
+        """Tell whether requests wait for the service or were shed just now."""
+        return len(service.queue) > 0 or now_ms - service.shed_ms < OVERLOAD_MS
+
+    def wait_ms(self, service: ServiceTrack, urgency: int, now_ms: float) -> float:
+        """Return the expected wait of a new request, in milliseconds."""
+        parallel = self._choice.parallel_calls(service, now_ms)
+        ahead = service.queue.ahead_of(urgency)
+        return service.estimate.wait_ms(ahead, parallel, service.typical_ms)
+
+    def _is_over(self, work: Work, now_ms: float) -> bool:
+        """Tell whether a waiting request is answered, out of time or unservable."""
+        if work.is_done:
+            return True
+        service = work.service
+        if fits(0, service.typical_ms, work.deadline_ms - now_ms):
+            return not self._may_serve(work, now_ms)
+        service.estimate = note_expired(service.estimate)
+        return True
+
+    def _may_serve(self, work: Work, now_ms: float) -> bool:
+        return self._choice.may_serve(work.service, work.snapshot, now_ms, work.tried)
+
+    def _enqueue(self, work: Work, attempt: Attempt) -> None:
+        service = work.service
+        work.attempt = attempt
+        self._order += 1
+        waiting = Waiting(work.deadline_ms, self._order, work.urgency, work)
+        given_up = service.queue.push(waiting)
+        self.backlogged[service.name] = service
+        if given_up is not None:
+            self._context.lost_works.append(given_up.work)
+
+
+def _command(call: Call, now_ms: float) -> SendSearch | SendRun:
+    work = call.work
+    parent = work.parent
+    left_ms = max(0, work.deadline_ms - now_ms)
+    if not isinstance(parent, OpenQuery):
+        run = RunCall(call.call_id, work.service.name, parent.event.payload, left_ms)
+        return SendRun(call.call_id, call.server.name, run, work.deadline_ms)
+    search = SearchCall(
+        call.call_id,
+        work.service.name,
+        parent.event.search,
+        parent.plan.snapshot,
+        parent.event.text,
+        parent.search.hits_max,
+        left_ms,
+    )
+    return SendSearch(call.call_id, call.server.name, search, work.deadline_ms)
--- /dev/null
+++ b/cowsliploom/routing/_fleet.py
@@ -0,0 +1,273 @@
+"""Backend servers and services as configuration, reports and peers describe them."""
+
+from dataclasses import replace
+
+from cowsliploom.protocol import HealthReport, LoadReport, ServerState
+from cowsliploom.resources import Configuration
+from cowsliploom.routing._budget import TokenBudget
+from cowsliploom.routing._catalog import Catalog, CatalogServer, build_catalog
+from cowsliploom.routing._choice import ReplicaChoice
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._limiter import (
+    Limiter,
+    connection_share,
+    narrow,
+    share_ceiling,
+)
+from cowsliploom.routing._messages import VersionShare
+from cowsliploom.routing._queue import UrgencyQueue
+from cowsliploom.routing._replica import preference_factor
+from cowsliploom.routing._shares import change_share
+from cowsliploom.routing._snapshots import take_report
+from cowsliploom.routing._tracks import ServerTrack, ServiceTrack, Work
+from cowsliploom.routing._warmup import Cold, ColdCause, Warm, take_word
+
+PROBES_FAILED_MAX = 3  # one lost probe says little
+PAST_INCARNATIONS = 4  # late words of these are told from a new start
+FIRST_LIMIT = 0.5  # a server just believed to be warm is tested, paced
+
+
+class Fleet:
+    """Keep the tracks of all servers and services.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings and identity.
+    choice : ReplicaChoice
+        Holder of the snapshot table.
+    """
+
+    def __init__(self, context: Context, choice: ReplicaChoice) -> None:
+        self._context = context
+        self._choice = choice
+        self._entries = 1
+        self._started_ms: float | None = None
+        self._owned: frozenset[str] = frozenset()
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._shares: tuple[VersionShare, ...] = ()
+        self.catalog = Catalog()
+        self.servers: dict[str, ServerTrack] = {}
+        self.services: dict[str, ServiceTrack] = {}
+        self.generation = 0
+
+    def configure(self, configuration: Configuration, now_ms: float) -> None:
+        """Take a configuration of a higher revision into use."""
+        catalog = build_catalog(configuration)
+        if catalog.revision < self.catalog.revision:
+            return
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        self.catalog = catalog
+        self.generation += 1
+        known = self.servers
+        self.servers = {
+            name: self._track_server(known.get(name), server, now_ms)
+            for name, server in catalog.servers.items()
+        }
+        for track in known.values():
+            track.is_gone = self.servers.get(track.name) is not track
+        self.services = {name: self._track_service(name) for name in catalog.services}
+        self.change_shares(self._shares)
+        self.count_entries(self._entries)
+
+    def count_entries(self, entries: int) -> None:
+        """Divide slots and connections among this many entry VMs."""
+        self._entries = max(1, entries)
+        allowance = self._context.settings.queue_allowance
+        for server in self.servers.values():
+            before = server.ceiling
+            server.ceiling = min(
+                share_ceiling(server.server.slots, allowance, self._entries),
+                self.connection_allowance(server.name),
+            )
+            if server.limiter.limit == before:
+                server.limiter = replace(server.limiter, limit=server.ceiling)
+            server.limiter = narrow(server.limiter, server.ceiling)
+
+    def change_owned(self, servers: frozenset[str]) -> None:
+        """Take the servers whose cold start this entry VM owns."""
+        self._owned = servers
+        self.generation += 1
+        for server in self.servers.values():
+            server.is_owned = server.name in servers
+
+    def change_leaving(self, servers: frozenset[str]) -> None:
+        """Take the platform's word on leaving servers."""
+        self._listed_leaving = servers
+        self.generation += 1
+        for server in self.servers.values():
+            server.is_listed_leaving = server.name in servers
+
+    def change_shares(self, shares: tuple[VersionShare, ...]) -> None:
+        """Take the shares of all version moves."""
+        self._shares = shares
+        by_service = {share.service: share for share in shares}
+        for service in self.services.values():
+            share = by_service.get(service.name)
+            if share is None:
+                service.move = None
+                continue
+            service.move = change_share(service.move, share.to_version, share.share)
+
+    def take_health(self, report: HealthReport, now_ms: float) -> None:
+        """Take a server's health report; one of a past incarnation is stale."""
+        server = self.servers.get(report.server)
+        if server is None or report.incarnation in server.past_incarnations:
+            return
+        table = take_report(self._choice.table, report)
+        if table is not self._choice.table:
+            self._choice.table = table
+            self.generation += 1
+        server.probes_failed = 0
+        self.take_word(server, report.incarnation, report.version, report.state, now_ms)
+        self.note_contact(server, now_ms)
+
+    def take_load(self, report: LoadReport, now_ms: float) -> None:
+        """Take a server's load report; it only narrows, and only while fresh."""
+        server = self.servers.get(report.server)
+        if server is None:
+            return
+        others_busy = max(0, report.busy - server.in_flight)
+        server.reported_ms = now_ms
+        server.reported_ceiling = max(1, report.slots - others_busy)
+        server.reported_cold = report.cold_allowance
+        server.connections_max = report.connections_max
+
+    def take_warm(self, names: frozenset[str]) -> None:
+        """Take the owners' word on servers that have shown to be warm."""
+        for name in names:
+            server = self.servers.get(name)
+            if server is None or server.is_owned:
+                continue
+            if isinstance(server.warmth, Cold) and server.warmth.says_live:
+                self.believe_warm(server)
+
+    def take_word(
+        self,
+        server: ServerTrack,
+        incarnation: str,
+        version: str,
+        state: ServerState,
+        now_ms: float,
+    ) -> None:
+        """Take a server's own word from a reply, a refusal or its health."""
+        if incarnation in server.past_incarnations:
+            return
+        if incarnation != server.incarnation:
+            self._take_incarnation(server, incarnation, state, now_ms)
+        if version:
+            server.version = version
+        if state is ServerState.LEAVING and not server.is_leaving:
+            server.is_leaving = True
+            self.generation += 1
+        warmth = server.warmth
+        if isinstance(warmth, Warm) and state is not ServerState.COLD:
+            return
+        hold_ms = self._context.settings.cold_hold_ms
+        after = take_word(warmth, state, now_ms, hold_ms, server.is_owned)
+        if isinstance(after, Warm):
+            self.believe_warm(server)
+        elif isinstance(warmth, Warm):
+            self.turn_cold(server, ColdCause.WORD, now_ms)
+        else:
+            server.warmth = after
+
+    def turn_cold(self, server: ServerTrack, cause: ColdCause, now_ms: float) -> None:
+        """Take a server as cold, with the allowance at its least."""
+        says_live = cause is not ColdCause.WORD
+        if not server.is_cold:
+            self._context.count('cold_turns')
+        server.warmth = Cold(cause, now_ms, says_live)
+        self.generation += 1
+
+    def note_contact(self, server: ServerTrack, now_ms: float) -> None:
+        """Take any sign of life; after refused connections it was a restart."""
+        if server.refused_connections > 1:
+            self.turn_cold(server, ColdCause.CONNECTIONS, now_ms)
+        server.refused_connections = 0
+
+    def fail_probe(self, name: str, now_ms: float) -> None:
+        """Take a probe without answer; own calls say more than probes."""
+        server = self.servers.get(name)
+        if server is None:
+            return
+        server.probes_failed += 1
+        is_silent = server.view.updated_ms < now_ms - PROBES_FAILED_MAX * 1000
+        if server.probes_failed >= PROBES_FAILED_MAX and is_silent:
+            server.failures = max(1, server.failures)
+
+    def connection_allowance(self, name: str) -> int:
+        """Return the connections that may be open to a server, at least 1."""
+        server = self.servers.get(name)
+        if server is None:
+            return 1
+        accepted = server.server.connections_max
+        if server.connections_max:
+            accepted = min(accepted, server.connections_max)
+        headroom = self._context.settings.connection_headroom_ratio
+        return connection_share(accepted, headroom, self._entries)
+
+    def believe_warm(self, server: ServerTrack) -> None:
+        """Take a server as warm; one that others warmed up is tested, paced."""
+        first_limit = server.ceiling if server.is_owned else FIRST_LIMIT
+        server.warmth = Warm()
+        server.limiter = Limiter(first_limit)
+        self.generation += 1
+
+    def _take_incarnation(
+        self, server: ServerTrack, incarnation: str, state: ServerState, now_ms: float
+    ) -> None:
+        past = (*server.past_incarnations, server.incarnation)
+        server.past_incarnations = tuple(filter(None, past))[-PAST_INCARNATIONS:]
+        server.incarnation = incarnation
+        server.is_leaving = False
+        server.failures = 0
+        server.down_until_ms = 0
+        started_ms = self._started_ms or 0
+        at_start = now_ms - started_ms <= self._context.settings.start_grace_ms
+        is_first = not server.is_known
+        server.is_known = True
+        self.generation += 1
+        if is_first and at_start and state is ServerState.LIVE:
+            server.warmth = Warm()
+            return
+        cause = ColdCause.UNKNOWN if is_first else ColdCause.INCARNATION
+        self.turn_cold(server, cause, now_ms)
+
+    def _track_server(
+        self, known: ServerTrack | None, server: CatalogServer, now_ms: float
+    ) -> ServerTrack:
+        is_out = server.spec.data_centre in self.catalog.data_centres_out
+        if known is None or known.server.spec.address != server.spec.address:
+            known = ServerTrack(
+                server,
+                server.spec.version,
+                server.spec.data_centre == self._context.data_centre,
+                Cold(ColdCause.UNKNOWN, now_ms),
+                Limiter(1),
+            )
+        elif known.is_out and not is_out:
+            self.turn_cold(known, ColdCause.RETURNED, now_ms)
+        if known.server.spec.version != server.spec.version:
+            known.version = server.spec.version
+        known.server = server
+        known.is_out = is_out
+        known.is_owned = known.name in self._owned
+        known.is_listed_leaving = known.name in self._listed_leaving
+        return known
+
+    def _track_service(self, name: str) -> ServiceTrack:
+        settings = self._context.settings
+        names = self.catalog.services[name]
+        track = self.services.get(name)
+        if track is None:
+            queue: UrgencyQueue[Work] = UrgencyQueue(settings.queue_max)
+            budget = TokenBudget(settings.service_extra_ratio)
+            track = ServiceTrack(name, queue, budget)
+        track.servers = tuple(self.servers[server] for server in names)
+        for server in track.servers:
+            server.preference = preference_factor(
+                self._context.name, server.name, names
+            )
+        return track
--- /dev/null
+++ b/cowsliploom/routing/_limiter.py
@@ -0,0 +1,105 @@
+"""Limit of calls in flight from this entry VM to one backend server."""
+
+from dataclasses import dataclass
+
+LIMIT_MIN = 0.05  # below one the limit paces; a lower one would never test again
+FALL_RATIO = 0.5  # a shed or failed call halves the limit
+SLOW_FALL_RATIO = 0.75  # slowness is a weaker sign than a shed
+GROWTH = 0.1  # a whole call more takes at least ten successes
+FRACTION_MIN = 0.04  # smaller fractions would pace beyond any deadline
+
+
+@dataclass(frozen=True, slots=True)
+class Limiter:
+    """Hold the adaptive limit for one backend server.
+
+    Parameters
+    ----------
+    limit : float
+        Calls in flight; a fraction is served by pacing.
+    fell_ms : float
+        Time of the last fall; calls sent before it bring no further fall.
+    """
+
+    limit: float
+    fell_ms: float = 0
+
+    def allows(self, in_flight: int, since_sent_ms: float, typical_ms: float) -> bool:
+        """Tell whether one more call may be sent.
+
+        Parameters
+        ----------
+        in_flight : int
+            Calls now at the server from this entry VM.
+        since_sent_ms : float
+            Time since the last call was sent, in milliseconds.
+        typical_ms : float
+            Typical latency of the service, in milliseconds.
+        """
+        whole = int(self.limit)
+        if in_flight < whole:
+            return True
+        fraction = self.limit - whole
+        if in_flight > whole or fraction < FRACTION_MIN:
+            return False
+        return since_sent_ms * fraction >= typical_ms * (1 - fraction)
+
+
+def share_ceiling(slots: int, queue_allowance: int, entries: int) -> float:
+    """Return one entry VM's share of a server's slots and short queue.
+
+    Parameters
+    ----------
+    slots, queue_allowance : int
+        Calls that the server works on at once, and may hold beyond these.
+    entries : int
+        Live entry VMs that share the server.
+
+    Returns
+    -------
+    float
+        Calls in flight, at least one: with more entry VMs than slots the server's
+        own refusals bring the limit below one.
+    """
+    return max(1, (slots + queue_allowance) / max(1, entries))
+
+
+def grow(limiter: Limiter, ceiling: float) -> Limiter:
+    """Return the limiter after a success: a little higher, up to the ceiling."""
+    if limiter.limit >= ceiling:
+        return limiter
+    step = GROWTH / max(1, limiter.limit)
+    return Limiter(min(ceiling, limiter.limit + step), limiter.fell_ms)
+
+
+def fall(
+    limiter: Limiter, sent_ms: float, now_ms: float, ratio: float = FALL_RATIO
+) -> Limiter:
+    """Return the limiter after a sign of overload: lower at once.
+
+    Notes
+    -----
+    Calls of one burst are refused together; only the first of them counts.
+    """
+    if sent_ms <= limiter.fell_ms:
+        return limiter
+    return Limiter(max(LIMIT_MIN, limiter.limit * ratio), now_ms)
+
+
+def narrow(limiter: Limiter, ceiling: float) -> Limiter:
+    """Return the limiter held to a lower ceiling."""
+    if limiter.limit <= ceiling:
+        return limiter
+    return Limiter(ceiling, limiter.fell_ms)
+
+
+def connection_share(connections_max: int, headroom_ratio: float, entries: int) -> int:
+    """Return the connections that one entry VM may open to a server.
+
+    Examples
+    --------
+    >>> connection_share(connections_max=25, headroom_ratio=0.25, entries=8)
+    2
+    """
+    usable = connections_max * (1 - headroom_ratio)
+    return max(1, int(usable / max(1, entries)))
--- a/cowsliploom/routing/_messages.py
+++ b/cowsliploom/routing/_messages.py
@@ -52,6 +52,14 @@
     servers: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class ServersWarm:
+    """Take the owners' word on servers that have shown to be warm again."""
+
+    now_ms: float
+    servers: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class VersionShare:
     """Give a new version its share of a service's traffic, from 0 to 1."""
@@ -194,6 +202,7 @@
     | EntriesCounted
     | OwnershipChanged
     | ServersLeaving
+    | ServersWarm
     | SharesChanged
     | QueryArrived
     | RunArrived
--- /dev/null
+++ b/cowsliploom/routing/_outcomes.py
@@ -0,0 +1,203 @@
+"""What finished calls teach about a server and its service."""
+
+from cowsliploom.protocol import CallRefusal, RefusalReason, ServerState
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._fleet import Fleet
+from cowsliploom.routing._latency import add_sample
+from cowsliploom.routing._limiter import (
+    LIMIT_MIN,
+    SLOW_FALL_RATIO,
+    fall,
+    grow,
+)
+from cowsliploom.routing._messages import CallFailed, FailureStep
+from cowsliploom.routing._tracks import Call, ServerTrack
+from cowsliploom.routing._view import (
+    forget_slowness,
+    observe_failure,
+    observe_success,
+)
+from cowsliploom.routing._warmup import (
+    Cold,
+    ColdCause,
+    take_setback,
+    take_success,
+)
+
+BACKOFF_MIN_MS = 100.0  # a refused connection costs little, so test again soon
+BACKOFF_MAX_MS = 2000.0  # a server that is back must be found within seconds
+WRONG_SERVICE_MS = 5000.0  # an address that changed hands needs a configuration
+SILENT_RATIO = 3  # a timeout counts once the call took this many medians
+
+
+class Outcomes:
+    """Apply the outcome of calls to servers and services.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings, counters and commands.
+    fleet : Fleet
+        Servers and services.
+    """
+
+    def __init__(self, context: Context, fleet: Fleet) -> None:
+        self._context = context
+        self._fleet = fleet
+
+    def succeed(
+        self,
+        call: Call,
+        incarnation: str,
+        version: str,
+        state: ServerState,
+        now_ms: float,
+    ) -> None:
+        """Take a call that the server answered well."""
+        server = call.server
+        service = call.work.service
+        elapsed_ms = now_ms - call.sent_ms
+        service.window = add_sample(service.window, elapsed_ms)
+        server.view = observe_success(server.view, elapsed_ms, now_ms)
+        if server.failures:
+            server.failures = 0
+            self._fleet.generation += 1
+        is_new_word = incarnation != server.incarnation or version != server.version
+        if is_new_word or state is not ServerState.LIVE or server.is_cold:
+            self._fleet.take_word(server, incarnation, version, state, now_ms)
+        if server.refused_connections:
+            self._fleet.note_contact(server, now_ms)
+        self._context.record(call, now_ms, succeeded=True)
+        if server.is_cold:
+            self._warm_up(server, state)
+        elif server.view.is_slow:
+            self._slow_down(call, now_ms)
+        else:
+            server.limiter = grow(server.limiter, server.ceiling)
+
+    def fail(self, call: Call, now_ms: float) -> None:
+        """Take an error of the server's own."""
+        server = call.server
+        server.view = observe_failure(server.view, now_ms)
+        server.limiter = fall(server.limiter, call.sent_ms, now_ms)
+        server.warmth = take_setback(server.warmth, now_ms)
+        self._context.record(call, now_ms, succeeded=False)
+
+    def lose(self, call: Call, event: CallFailed) -> None:
+        """Take a call that got no readable answer."""
+        now_ms = event.now_ms
+        if event.timed_out and event.step is not FailureStep.CONNECT:
+            self.time_out(call, now_ms)
+            return
+        server = call.server
+        self.fail(call, now_ms)
+        if event.step is FailureStep.DECODE:
+            return
+        server.refused_connections += not event.timed_out
+        self._back_off(server, now_ms)
+
+    def time_out(self, call: Call, now_ms: float) -> None:
+        """Take a call that timed out after its request was sent.
+
+        Notes
+        -----
+        The first suspects the connections: they are retired, and a fresh one is
+        tried. Only a call sent after that blames the server. A call that had
+        little time says nothing.
+        """
+        server = call.server
+        service = call.work.service
+        elapsed_ms = now_ms - call.sent_ms
+        if elapsed_ms < SILENT_RATIO * service.typical_ms:
+            return
+        self.slow(call, now_ms)
+        is_fresh = call.sent_ms > server.retired_ms
+        was_retired = server.retired_ms > 0
+        self._context.retire(server, now_ms)
+        if was_retired and is_fresh:
+            server.view = observe_failure(server.view, now_ms)
+            server.limiter = fall(server.limiter, call.sent_ms, now_ms)
+            server.warmth = take_setback(server.warmth, now_ms)
+            self._back_off(server, now_ms)
+
+    def slow(self, call: Call, now_ms: float) -> None:
+        """Take a call that was given up unanswered as at least so slow."""
+        service = call.work.service
+        elapsed_ms = now_ms - call.sent_ms
+        if elapsed_ms <= service.typical_ms:
+            return
+        service.window = add_sample(service.window, elapsed_ms)
+        call.server.view = observe_success(call.server.view, elapsed_ms, now_ms)
+        self._context.record(call, now_ms, succeeded=True)
+        if not call.server.is_cold and call.server.view.is_slow:
+            self._slow_down(call, now_ms)
+
+    def shed(self, call: Call, now_ms: float) -> None:
+        """Take a call that the server shed: the limit falls at once."""
+        server = call.server
+        self._context.count('sheds')
+        call.work.service.shed_ms = now_ms
+        if server.limiter.limit <= LIMIT_MIN:
+            self._context.record(call, now_ms, succeeded=False)
+        server.limiter = fall(server.limiter, call.sent_ms, now_ms)
+        server.warmth = take_setback(server.warmth, now_ms)
+
+    def take_not_run(self, call: Call, reason: RefusalReason, now_ms: float) -> None:
+        """Take a refusal that says no to this server, not to the work."""
+        server = call.server
+        match reason:
+            case RefusalReason.COLD if server.is_cold:
+                server.warmth = take_setback(server.warmth, now_ms)
+            case RefusalReason.COLD:
+                self._fleet.turn_cold(server, ColdCause.WORD, now_ms)
+            case RefusalReason.LEAVING:
+                server.is_leaving = True
+                self._fleet.generation += 1
+            case RefusalReason.WRONG_SERVICE:
+                server.view = observe_failure(server.view, now_ms)
+                server.down_until_ms = now_ms + WRONG_SERVICE_MS
+                self._fleet.generation += 1
+
+    def take_refusal_word(
+        self, server: ServerTrack, refusal: CallRefusal, now_ms: float
+    ) -> None:
+        """Take the server's own word that comes with a refusal."""
+        self._fleet.take_word(
+            server, refusal.incarnation, refusal.version, refusal.state, now_ms
+        )
+        self._fleet.note_contact(server, now_ms)
+
+    def _warm_up(self, server: ServerTrack, state: ServerState) -> None:
+        warmth = take_success(server.warmth, state, server.server.slots)
+        if not isinstance(warmth, Cold):
+            self._fleet.believe_warm(server)
+            return
+        server.warmth = warmth
+
+    def _slow_down(self, call: Call, now_ms: float) -> None:
+        """Lower the limit of a slow server; a very slow one is taken as cold.
+
+        Notes
+        -----
+        Suspicion alone never takes the last warm server of a service: where all
+        are slow the load or the service is, not one server's cache.
+        """
+        server = call.server
+        others_warm = any(
+            not other.is_cold and not other.view.is_slow and not other.is_blocked
+            for other in call.work.service.servers
+            if other is not server
+        )
+        is_cold = server.view.is_very_slow and others_warm
+        server.view = forget_slowness(server.view)
+        if is_cold and call.work.service.shed_ms < now_ms - BACKOFF_MAX_MS:
+            self._fleet.turn_cold(server, ColdCause.SLOWNESS, now_ms)
+            return
+        server.limiter = fall(server.limiter, call.sent_ms, now_ms, SLOW_FALL_RATIO)
+
+    def _back_off(self, server: ServerTrack, now_ms: float) -> None:
+        server.failures += 1
+        wait_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** (server.failures - 1))
+        jitter = 0.5 + self._context.generator.random() / 2
+        server.down_until_ms = now_ms + wait_ms * jitter
+        self._fleet.generation += 1
--- /dev/null
+++ b/cowsliploom/routing/_queries.py
@@ -0,0 +1,192 @@
+"""Queries: one pinned snapshot, many sub-requests, one answer."""
+
+from heapq import heappop, heappush
+
+from cowsliploom.protocol import Ran
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._coverage import measure_coverage, merge_hits
+from cowsliploom.routing._dispatcher import Dispatcher
+from cowsliploom.routing._fleet import Fleet
+from cowsliploom.routing._messages import (
+    AnswerQuery,
+    QueryArrived,
+    RefusalCause,
+)
+from cowsliploom.routing._outcomes import Outcomes
+from cowsliploom.routing._planner import Planner
+from cowsliploom.routing._settings import answer_deadline_ms
+from cowsliploom.routing._tracks import Attempt, OpenQuery, Work
+
+RESTARTS_MAX = 2  # a query that loses its snapshot more often than this is late
+
+
+class Queries:
+    """Own the open queries.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings, counters and commands.
+    fleet : Fleet
+        Servers and services.
+    planner : Planner
+        Pins snapshots.
+    dispatcher : Dispatcher
+        Sender of calls.
+    outcomes : Outcomes
+        Learning from calls.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        fleet: Fleet,
+        planner: Planner,
+        dispatcher: Dispatcher,
+        outcomes: Outcomes,
+    ) -> None:
+        self._context = context
+        self._fleet = fleet
+        self._planner = planner
+        self._dispatcher = dispatcher
+        self._outcomes = outcomes
+        self._deadlines: list[tuple[float, int, OpenQuery]] = []
+        self._order = 0
+        self.open: dict[str, OpenQuery] = {}
+
+    @property
+    def due_ms(self) -> float | None:
+        """Return the next deadline, in milliseconds; None without queries."""
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def start(self, event: QueryArrived) -> None:
+        """Admit a query, pin its snapshot and ask every service."""
+        search = self._fleet.catalog.searches.get(event.search)
+        if search is None:
+            self._refuse(event, RefusalCause.UNKNOWN_SEARCH)
+            return
+        plan = self._planner.pin(event.search, search, event.now_ms)
+        if plan is None:
+            self._refuse(event, RefusalCause.NO_SNAPSHOT)
+            return
+        settings = self._context.settings
+        deadline_ms = answer_deadline_ms(settings, event.now_ms, event.deadline_ms)
+        left_ms = deadline_ms - event.now_ms
+        wait_ms = self._planner.overload_wait_ms(search, left_ms, event.now_ms)
+        if len(self.open) >= settings.queries_max:
+            wait_ms = left_ms
+        if wait_ms is not None:
+            self._refuse(event, RefusalCause.OVERLOADED, wait_ms)
+            return
+        self._admit(OpenQuery(event, search, plan, deadline_ms))
+
+    def leave(self, query_id: str, now_ms: float) -> None:
+        """Drop a query whose caller has gone."""
+        query = self.open.get(query_id)
+        if query is not None:
+            self._close(query, now_ms)
+
+    def lose(self, work: Work, now_ms: float) -> None:
+        """Give up a sub-request; its service is missing in the answer."""
+        query = work.parent
+        if work.is_done or work.calls or not isinstance(query, OpenQuery):
+            return
+        self.finish_work(query, work, now_ms)
+
+    def finish_work(self, query: OpenQuery, work: Work, now_ms: float) -> None:
+        """Close a sub-request; the last one answers the query."""
+        work.is_done = True
+        query.open_works.pop(work.service.name, None)
+        for call in tuple(work.calls):
+            self._dispatcher.cancel(call, now_ms)
+        if not query.open_works:
+            self._answer(query, now_ms)
+
+    def restart(self, query: OpenQuery, now_ms: float) -> bool:
+        """Begin again on a newer snapshot, if there is one and time is left."""
+        plan = self._planner.pin(query.route, query.search, now_ms)
+        slowest_ms = max(work.service.typical_ms for work in query.open_works.values())
+        has_time = query.deadline_ms - now_ms >= 2 * slowest_ms
+        is_newer = plan is not None and plan.snapshot > query.plan.snapshot
+        if plan is None or not is_newer or not has_time:
+            return False
+        if query.is_closed or query.restarts >= RESTARTS_MAX:
+            return False
+        query.restarts += 1
+        self._context.count('restarts')
+        self._cancel_all(query, now_ms)
+        query.plan = plan
+        query.replies.clear()
+        self._ask_all(query, now_ms)
+        return True
+
+    def expire(self, now_ms: float) -> None:
+        """Answer the queries whose time is up with what there is."""
+        deadlines = self._deadlines
+        while deadlines and (deadlines[0][0] <= now_ms or deadlines[0][2].is_closed):
+            query = heappop(deadlines)[2]
+            if not query.is_closed:
+                self._answer(query, now_ms)
+
+    def _admit(self, query: OpenQuery) -> None:
+        event = query.event
+        self.open[event.query_id] = query
+        self._order += 1
+        heappush(self._deadlines, (query.deadline_ms, self._order, query))
+        self._ask_all(query, event.now_ms)
+
+    def _ask_all(self, query: OpenQuery, now_ms: float) -> None:
+        services = self._fleet.services
+        asked = [services[name] for name, _ in query.plan.shards if name in services]
+        self._dispatcher.earn(asked)
+        urgency = query.search.urgency
+        snapshot = query.plan.snapshot
+        query.open_works = {
+            service.name: Work(service, query, urgency, query.deadline_ms, snapshot)
+            for service in asked
+        }
+        for work in tuple(query.open_works.values()):
+            self._dispatcher.place(work, now_ms, Attempt.FIRST)
+
+    def _answer(self, query: OpenQuery, now_ms: float) -> None:
+        if query.is_closed:
+            return
+        query_id = query.name
+        self._close(query, now_ms)
+        if not query.replies:
+            self._refuse_empty(query, now_ms)
+            return
+        coverage = measure_coverage(query.plan, query.replies)
+        if coverage.missing_services:
+            self._context.count('partial_answers')
+        hits = merge_hits(query.replies.values(), query.search.hits_max)
+        self._context.commands.append(
+            AnswerQuery(query_id, query.plan.snapshot, coverage, hits)
+        )
+
+    def _refuse_empty(self, query: OpenQuery, now_ms: float) -> None:
+        is_late = now_ms >= query.deadline_ms
+        if not query.attempts:
+            cause = RefusalCause.OVERLOADED if is_late else RefusalCause.NO_SERVER
+            self._context.refuse(query.name, cause, 'route')
+            return
+        cause = RefusalCause.DEADLINE if is_late else RefusalCause.BACKEND
+        self._context.refuse(query.name, cause, 'gather', Ran.UNKNOWN)
+
+    def _close(self, query: OpenQuery, now_ms: float) -> None:
+        query.is_closed = True
+        self.open.pop(query.name, None)
+        self._cancel_all(query, now_ms)
+
+    def _cancel_all(self, query: OpenQuery, now_ms: float) -> None:
+        works = tuple(query.open_works.values())
+        query.open_works.clear()
+        for work in works:
+            work.is_done = True
+            for call in tuple(work.calls):
+                self._dispatcher.cancel(call, now_ms)
+
+    def _refuse(
+        self, event: QueryArrived, cause: RefusalCause, wait_ms: float = 0
+    ) -> None:
+        self._context.refuse(event.query_id, cause, 'admit', retry_after_ms=wait_ms)
--- /dev/null
+++ b/cowsliploom/routing/_query_calls.py
@@ -0,0 +1,148 @@
+"""Calls of queries: what each outcome leads to."""
+
+from cowsliploom.protocol import CallRefusal, Ran, RefusalReason, SearchReply
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._dispatcher import Dispatcher
+from cowsliploom.routing._messages import CallFailed
+from cowsliploom.routing._outcomes import Outcomes
+from cowsliploom.routing._planner import Planner
+from cowsliploom.routing._queries import Queries
+from cowsliploom.routing._tracks import Attempt, Call, OpenQuery, Work
+
+ATTEMPTS_MAX = 4  # calls for one sub-request, the first included
+
+
+class QueryCalls:
+    """Take the outcomes of search calls in flight.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings and counters.
+    queries : Queries
+        Open queries.
+    planner : Planner
+        Pins snapshots.
+    dispatcher : Dispatcher
+        Sender of calls.
+    outcomes : Outcomes
+        Learning from calls.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        queries: Queries,
+        planner: Planner,
+        dispatcher: Dispatcher,
+        outcomes: Outcomes,
+    ) -> None:
+        self._context = context
+        self._queries = queries
+        self._planner = planner
+        self._dispatcher = dispatcher
+        self._outcomes = outcomes
+
+    def take_reply(self, call: Call, reply: SearchReply, now_ms: float) -> None:
+        """Take the reply to a call in flight; discard one that is not its answer."""
+        self._dispatcher.end(call)
+        work = call.work
+        mismatch = _mismatch(call, reply)
+        if mismatch:
+            self._context.count(mismatch)
+            self._fail(call, now_ms)
+            return
+        self._outcomes.succeed(
+            call, reply.incarnation, reply.version, reply.state, now_ms
+        )
+        query = work.parent
+        if isinstance(query, OpenQuery):
+            query.replies[work.service.name] = reply
+            self._queries.finish_work(query, work, now_ms)
+
+    def take_refusal(self, call: Call, refusal: CallRefusal, now_ms: float) -> None:
+        """Take a refusal of a call in flight."""
+        self._dispatcher.end(call)
+        if refusal.request_id == call.call_id:
+            self._outcomes.take_refusal_word(call.server, refusal, now_ms)
+            self._react(call, refusal.reason, now_ms)
+            return
+        self._context.count('crossed_replies')
+        self._fail(call, now_ms)
+
+    def take_failure(self, call: Call, event: CallFailed) -> None:
+        """Take a call in flight that got no readable answer."""
+        self._dispatcher.end(call)
+        self._outcomes.lose(call, event)
+        not_run = event.ran is Ran.NO
+        attempt = Attempt.REROUTE if not_run else Attempt.RETRY
+        self._try_again(call.work, event.now_ms, attempt)
+
+    def _try_again(self, work: Work, now_ms: float, attempt: Attempt) -> None:
+        """Send another attempt, unless one is in flight or nothing allows it."""
+        if work.is_done or work.calls:
+            return
+        left_ms = work.deadline_ms - now_ms
+        late = left_ms < work.service.typical_ms
+        if late or len(work.tried) >= ATTEMPTS_MAX:
+            self._queries.lose(work, now_ms)
+            return
+        if attempt is Attempt.RETRY:
+            if not self._dispatcher.may_add_load(work, now_ms):
+                self._queries.lose(work, now_ms)
+                return
+            self._dispatcher.pay(work.service)
+        self._dispatcher.place(work, now_ms, attempt)
+
+    def _react(self, call: Call, reason: RefusalReason, now_ms: float) -> None:
+        match reason:
+            case RefusalReason.SNAPSHOT_GONE:
+                self._lose_snapshot(call, now_ms)
+            case RefusalReason.SHED:
+                self._outcomes.shed(call, now_ms)
+                self._wait_again(call, now_ms)
+            case RefusalReason.FAILED:
+                self._fail(call, now_ms)
+            case RefusalReason.EXPIRED:
+                self._queries.lose(call.work, now_ms)
+            case _:
+                self._outcomes.take_not_run(call, reason, now_ms)
+                self._try_again(call.work, now_ms, Attempt.REROUTE)
+
+    def _fail(self, call: Call, now_ms: float) -> None:
+        self._outcomes.fail(call, now_ms)
+        self._try_again(call.work, now_ms, Attempt.RETRY)
+
+    def _lose_snapshot(self, call: Call, now_ms: float) -> None:
+        work = call.work
+        query = work.parent
+        if work.snapshot is None or not isinstance(query, OpenQuery):
+            return
+        self._planner.drop_snapshot(call.server, work.snapshot)
+        is_lost = not work.calls and not self._planner.may_serve(work, now_ms)
+        if is_lost and self._queries.restart(query, now_ms):
+            return
+        self._try_again(work, now_ms, Attempt.REROUTE)
+
+    def _wait_again(self, call: Call, now_ms: float) -> None:
+        """Let a shed sub-request wait, paid from the budget for retries."""
+        work = call.work
+        if work.is_done or work.calls:
+            return
+        budget = self._context.budget
+        may_pay = budget.may_spend and work.service.budget.may_spend
+        if not self._context.settings.shed_requeue or not may_pay:
+            self._queries.lose(work, now_ms)
+            return
+        self._dispatcher.pay(work.service)
+        work.tried = tuple(name for name in work.tried if name != call.server.name)
+        self._dispatcher.wait(work)
+
+
+def _mismatch(call: Call, reply: SearchReply) -> str:
+    """Name the counter of what is wrong with a reply; empty when nothing is."""
+    if reply.request_id != call.call_id or reply.service != call.work.service.name:
+        return 'crossed_replies'
+    if reply.snapshot != call.work.snapshot:
+        return 'snapshot_mismatches'
+    return ''
--- /dev/null
+++ b/cowsliploom/routing/_queue.py
@@ -0,0 +1,108 @@
+"""Requests that wait for a service, ordered by urgency and deadline."""
+
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Generic, TypeVar
+
+STARVED_AFTER = 8  # a waiting class is passed over this often, then served once
+
+Work = TypeVar('Work')
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Waiting(Generic[Work]):
+    """Hold one waiting request; earlier deadlines sort first.
+
+    Parameters
+    ----------
+    deadline_ms : float
+        Time by which it must be answered, in milliseconds.
+    order : int
+        Order of arrival, unique.
+    urgency : int
+        1 (least urgent) to 9 (most urgent).
+    work : object
+        What waits.
+    """
+
+    deadline_ms: float
+    order: int
+    urgency: int = field(compare=False)
+    work: Work = field(compare=False)
+
+
+Heap = list[Waiting[Work]]
+
+
+class UrgencyQueue(Generic[Work]):
+    """Keep waiting requests of one service, within a bound.
+
+    Parameters
+    ----------
+    waiting_max : int
+        Requests that may wait.
+
+    Notes
+    -----
+    The most urgent class is served first, by deadline within it. Every class that
+    waits is served at least once after it was passed over ``STARVED_AFTER`` times,
+    so none starves. A full queue gives up its least urgent request with the latest
+    deadline. The heaps are mutable and owned by the router's task, since a copy
+    at each event would cost as much as the whole queue.
+    """
+
+    def __init__(self, waiting_max: int) -> None:
+        self.waiting_max = waiting_max
+        self._classes: dict[int, Heap[Work]] = {}
+        self._passed: dict[int, int] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return self._count
+
+    def push(self, waiting: Waiting[Work]) -> Waiting[Work] | None:
+        """Add a request; return the one that was given up for it, if any."""
+        heappush(self._classes.setdefault(waiting.urgency, []), waiting)
+        self._count += 1
+        if self._count <= self.waiting_max:
+            return None
+        heap = self._classes[min(self._classes)]
+        worst = max(heap)
+        heap.remove(worst)
+        heap.sort()
+        self._forget_if_empty(worst.urgency)
+        self._count -= 1
+        return worst
+
+    def peek(self) -> Waiting[Work]:
+        """Return the request that is served next; the queue isn't empty."""
+        return self._classes[self._next_class()][0]
+
+    def pop(self) -> Waiting[Work]:
+        """Take the request that is served next; the queue isn't empty."""
+        urgency = self._next_class()
+        waiting = heappop(self._classes[urgency])
+        self._count -= 1
+        for other in self._classes:
+            self._passed[other] = self._passed.get(other, 0) + 1
+        self._passed[urgency] = 0
+        self._forget_if_empty(urgency)
+        return waiting
+
+    def ahead_of(self, urgency: int) -> int:
+        """Count the waiting requests that are at least as urgent."""
+        return sum(
+            len(heap) for level, heap in self._classes.items() if level >= urgency
+        )
+
+    def _next_class(self) -> int:
+        for urgency in sorted(self._classes):
+            if self._passed.get(urgency, 0) >= STARVED_AFTER:
+                return urgency
+        return max(self._classes)
+
+    def _forget_if_empty(self, urgency: int) -> None:
+        if not self._classes[urgency]:
+            self._classes.pop(urgency)
+            self._passed.pop(urgency, None)
--- a/cowsliploom/routing/_router.py
+++ b/cowsliploom/routing/_router.py
@@ -1,7 +1,247 @@
-"""Router of one entry VM."""
+"""Router of one entry VM: takes events, gives commands."""
 
-from cowsliploom.routing._naive import NaiveRouter
+import random
 
+from cowsliploom.routing._budget import TokenBudget
+from cowsliploom.routing._choice import ReplicaChoice
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._counters import RouterCounters
+from cowsliploom.routing._dispatcher import Dispatcher
+from cowsliploom.routing._fleet import Fleet
+from cowsliploom.routing._hedging import Hedging
+from cowsliploom.routing._messages import (
+    CallerLeft,
+    CallFailed,
+    CallRefused,
+    Command,
+    ConfigurationApplied,
+    EntriesCounted,
+    Event,
+    HealthReported,
+    LoadReported,
+    OwnershipChanged,
+    ProbeFailed,
+    QueryArrived,
+    RunArrived,
+    RunReplied,
+    SearchReplied,
+    ServersLeaving,
+    ServersWarm,
+    SharesChanged,
+    Tick,
+)
+from cowsliploom.routing._outcomes import Outcomes
+from cowsliploom.routing._planner import Planner
+from cowsliploom.routing._queries import Queries
+from cowsliploom.routing._query_calls import QueryCalls
+from cowsliploom.routing._runs import Runs
+from cowsliploom.routing._settings import RouterSettings
+from cowsliploom.routing._tracks import Call, OpenQuery
 
-class Router(NaiveRouter):
-    """Decide where queries and runs go."""
+CallEvent = SearchReplied | RunReplied | CallRefused | CallFailed
+
+
+class Router:
+    """Decide where queries and runs go, and when they are answered.
+
+    Parameters
+    ----------
+    name : str
+        Name of the entry VM.
+    data_centre : str
+        Data centre of the entry VM.
+    settings : RouterSettings
+        Settings.
+    seed : int
+        Seed of the random choices.
+
+    Notes
+    -----
+    The router is owned by one task and keeps no clock, socket or thread. Each
+    query and each run ends in exactly one ``AnswerQuery``, ``AnswerRun`` or
+    ``RefuseCaller``, unless its caller left.
+
+    Examples
+    --------
+    >>> router = Router('entry-1', 'gogledd', RouterSettings(), seed=1)
+    >>> event = QueryArrived(0, 'q1', 'unheard', 'tap', 'landlord', 200)
+    >>> router.step(event)[0].cause.value
+    'unknown_search'
+    """
+
+    def __init__(
+        self, name: str, data_centre: str, settings: RouterSettings, seed: int
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.settings = settings
+        generator = random.Random(seed)
+        budget = TokenBudget(settings.extra_load_ratio)
+        context = Context(name, data_centre, settings, generator, budget)
+        choice = ReplicaChoice(context)
+        fleet = Fleet(context, choice)
+        outcomes = Outcomes(context, fleet)
+        dispatcher = Dispatcher(context, choice, outcomes)
+        self._context = context
+        self._fleet = fleet
+        self._outcomes = outcomes
+        self._dispatcher = dispatcher
+        planner = Planner(context, fleet, choice, dispatcher)
+        self._queries = Queries(context, fleet, planner, dispatcher, outcomes)
+        self._query_calls = QueryCalls(
+            context, self._queries, planner, dispatcher, outcomes
+        )
+        self._runs = Runs(context, fleet, dispatcher, outcomes)
+        self._hedging = Hedging(context, dispatcher)
+
+    @property
+    def counters(self) -> RouterCounters:
+        """Return the present counters."""
+        return RouterCounters(**self._context.counts)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no query and no run is open."""
+        return not self._queries.open and not self._runs.open
+
+    @property
+    def due_ms(self) -> float | None:
+        """Return when the next ``Tick`` is due at the latest, in milliseconds."""
+        owners = (self._queries, self._runs, self._hedging)
+        times = [owner.due_ms for owner in owners]
+        return min((due_ms for due_ms in times if due_ms is not None), default=None)
+
+    @property
+    def warm_owned(self) -> frozenset[str]:
+        """Return the owned servers that have shown to be warm, for the peers."""
+        return frozenset(
+            server.name
+            for server in self._fleet.servers.values()
+            if server.is_owned and server.is_known and not server.is_cold
+        )
+
+    def connection_allowance(self, server: str) -> int:
+        """Return the connections that this entry VM may have open to a server."""
+        return self._fleet.connection_allowance(server)
+
+    def step(self, event: Event) -> tuple[Command, ...]:
+        """Take one event and return the commands it leads to.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+
+        Returns
+        -------
+        tuple of Command
+            What to do, in order.
+        """
+        match event:
+            case SearchReplied() | RunReplied() | CallRefused() | CallFailed():
+                self._take_call_event(event)
+            case QueryArrived():
+                self._start_query(event)
+            case RunArrived():
+                self._runs.start(event)
+            case CallerLeft():
+                self._queries.leave(event.query_id, event.now_ms)
+                self._runs.leave(event.query_id)
+            case Tick():
+                self._dispatcher.drain_all(event.now_ms)
+            case _:
+                self._take_report(event)
+        self._settle(event.now_ms)
+        commands = tuple(self._context.commands)
+        self._context.commands.clear()
+        return commands
+
+    def _start_query(self, event: QueryArrived) -> None:
+        self._queries.start(event)
+        query = self._queries.open.get(event.query_id)
+        if query is not None:
+            self._hedging.watch(query)
+
+    def _take_report(self, event: Event) -> None:
+        fleet = self._fleet
+        match event:
+            case ConfigurationApplied():
+                fleet.configure(event.configuration, event.now_ms)
+            case EntriesCounted():
+                fleet.count_entries(event.entries)
+            case OwnershipChanged():
+                fleet.change_owned(event.servers)
+            case ServersLeaving():
+                fleet.change_leaving(event.servers)
+            case SharesChanged():
+                fleet.change_shares(event.shares)
+            case ServersWarm():
+                fleet.take_warm(event.servers)
+            case HealthReported():
+                fleet.take_health(event.report, event.now_ms)
+            case LoadReported():
+                fleet.take_load(event.report, event.now_ms)
+            case ProbeFailed():
+                fleet.fail_probe(event.server, event.now_ms)
+
+    def _take_call_event(self, event: CallEvent) -> None:
+        call = self._dispatcher.calls.get(event.call_id)
+        if call is None:
+            self._take_late(event)
+            return
+        if event.server != call.server.name:
+            self._context.count('foreign_replies')
+            return
+        query = call.work.parent
+        if isinstance(query, OpenQuery):
+            self._take_query_event(event, call)
+            self._hedging.watch(query)
+        else:
+            self._take_run_event(event, call)
+        service = call.work.service
+        if len(service.queue):
+            self._dispatcher.drain(service, event.now_ms)
+
+    def _take_query_event(self, event: CallEvent, call: Call) -> None:
+        match event:
+            case SearchReplied():
+                self._query_calls.take_reply(call, event.reply, event.now_ms)
+            case CallRefused():
+                self._query_calls.take_refusal(call, event.refusal, event.now_ms)
+            case CallFailed():
+                self._query_calls.take_failure(call, event)
+            case _:
+                self._context.count('crossed_replies')
+
+    def _take_run_event(self, event: CallEvent, call: Call) -> None:
+        match event:
+            case RunReplied():
+                self._runs.take_reply(call, event.reply, event.server, event.now_ms)
+            case CallRefused():
+                self._runs.take_refusal(call, event)
+            case CallFailed():
+                self._runs.take_failure(call, event)
+            case _:
+                self._context.count('crossed_replies')
+
+    def _take_late(self, event: CallEvent) -> None:
+        """Discard and count an event of an ended call; learn from a timeout."""
+        if isinstance(event, (SearchReplied, RunReplied)):
+            self._context.count('late_replies')
+            return
+        ended = self._dispatcher.find_ended(event.call_id)
+        if ended and isinstance(event, CallFailed) and event.timed_out:
+            self._outcomes.time_out(ended, event.now_ms)
+
+    def _settle(self, now_ms: float) -> None:
+        """Run the timers that are due and close what can't be served."""
+        self._queries.expire(now_ms)
+        self._runs.expire(now_ms)
+        self._hedging.run(now_ms)
+        lost = self._context.lost_works
+        while lost:
+            work = lost.pop()
+            if isinstance(work.parent, OpenQuery):
+                self._queries.lose(work, now_ms)
+            else:
+                self._runs.lose(work, now_ms)
--- a/cowsliploom/routing/_runs.py
+++ b/cowsliploom/routing/_runs.py
@@ -1,7 +1,25 @@
-"""What a failure says about a non-idempotent request."""
+"""Non-idempotent requests: sent once, again only after a true "not run"."""
 
-from cowsliploom.protocol import Ran
-from cowsliploom.routing._messages import CallFailed, CallRefused
+from heapq import heappop, heappush
+
+from cowsliploom.protocol import CallRefusal, Ran, RefusalReason, RunReply
+from cowsliploom.routing._admission import fits
+from cowsliploom.routing._context import Context
+from cowsliploom.routing._dispatcher import Dispatcher
+from cowsliploom.routing._fleet import Fleet
+from cowsliploom.routing._messages import (
+    AnswerRun,
+    CallFailed,
+    CallRefused,
+    FailureStep,
+    RefusalCause,
+    RunArrived,
+)
+from cowsliploom.routing._outcomes import Outcomes
+from cowsliploom.routing._settings import answer_deadline_ms
+from cowsliploom.routing._tracks import Attempt, Call, OpenRun, Work
+
+ATTEMPTS_MAX = 4  # calls for one run, all but the last truly not run
 
 
 def read_ran(event: CallRefused | CallFailed) -> Ran:
@@ -16,3 +34,175 @@
     if event.refusal.request_id != event.call_id:
         return Ran.UNKNOWN
     return event.refusal.ran
+
+
+class Runs:
+    """Own the open non-idempotent requests.
+
+    Parameters
+    ----------
+    context : Context
+        Shared settings, counters and commands.
+    fleet : Fleet
+        Servers and services.
+    dispatcher : Dispatcher
+        Sender of calls.
+    outcomes : Outcomes
+        Learning from calls.
+
+    Notes
+    -----
+    A run is never hedged and never cancelled: a cancellation proves nothing about
+    what has run, and a late outcome may still be of use to its caller.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        fleet: Fleet,
+        dispatcher: Dispatcher,
+        outcomes: Outcomes,
+    ) -> None:
+        self._context = context
+        self._fleet = fleet
+        self._dispatcher = dispatcher
+        self._outcomes = outcomes
+        self._deadlines: list[tuple[float, int, Work]] = []
+        self._order = 0
+        self.open: dict[str, Work] = {}
+
+    @property
+    def due_ms(self) -> float | None:
+        """Return the next deadline, in milliseconds; None without runs."""
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def start(self, event: RunArrived) -> None:
+        """Admit a run and send it once."""
+        service = self._fleet.services.get(event.service)
+        if service is None:
+            self._refuse_start(event, RefusalCause.UNKNOWN_SERVICE)
+            return
+        settings = self._context.settings
+        deadline_ms = answer_deadline_ms(settings, event.now_ms, event.deadline_ms)
+        run = OpenRun(event, deadline_ms)
+        work = Work(service, run, settings.run_urgency, deadline_ms)
+        if len(service.queue):
+            wait_ms = self._dispatcher.wait_ms(service, work.urgency, event.now_ms)
+            if not fits(wait_ms, service.typical_ms, deadline_ms - event.now_ms):
+                self._refuse_start(event, RefusalCause.OVERLOADED, wait_ms)
+                return
+        self.open[event.run_id] = work
+        self._order += 1
+        heappush(self._deadlines, (deadline_ms, self._order, work))
+        self._dispatcher.place(work, event.now_ms, Attempt.FIRST)
+
+    def leave(self, run_id: str) -> None:
+        """Drop a run that waits; one that was sent is left to finish."""
+        work = self.open.get(run_id)
+        if work is not None and not work.calls:
+            self._close(run_id)
+
+    def take_reply(
+        self, call: Call, reply: RunReply, server: str, now_ms: float
+    ) -> None:
+        """Take the outcome of a call in flight."""
+        self._dispatcher.end(call)
+        run_id = call.work.parent.name
+        is_crossed = reply.request_id != call.call_id
+        if is_crossed or reply.service != call.work.service.name:
+            self._context.count('crossed_replies')
+            self._outcomes.fail(call, now_ms)
+            self._give_up(call.work, RefusalCause.BACKEND, Ran.UNKNOWN, server)
+            return
+        self._outcomes.succeed(
+            call, reply.incarnation, reply.version, reply.state, now_ms
+        )
+        if run_id in self.open:
+            self._close(run_id)
+            self._context.commands.append(AnswerRun(run_id, reply.outcome))
+
+    def take_refusal(self, call: Call, event: CallRefused) -> None:
+        """Take a refusal; only a true "not run" allows another attempt."""
+        self._dispatcher.end(call)
+        ran = read_ran(event)
+        self._learn(call, event.refusal, event.now_ms)
+        if ran is Ran.UNKNOWN:
+            self._give_up(call.work, RefusalCause.BACKEND, ran, event.server)
+            return
+        self._send_again(call.work, event.now_ms, event.server)
+
+    def take_failure(self, call: Call, event: CallFailed) -> None:
+        """Take a call without a readable answer."""
+        self._dispatcher.end(call)
+        self._outcomes.lose(call, event)
+        if event.ran is Ran.NO:
+            self._send_again(call.work, event.now_ms, event.server)
+            return
+        is_late = event.timed_out and event.step is FailureStep.RECEIVE
+        cause = RefusalCause.DEADLINE if is_late else RefusalCause.BACKEND
+        self._give_up(call.work, cause, Ran.UNKNOWN, event.server, event.step)
+
+    def lose(self, work: Work, now_ms: float) -> None:
+        """Refuse a run that waits and can't be sent."""
+        if work.is_done or work.calls:
+            return
+        is_full = len(work.service.queue) > 0 or now_ms >= work.deadline_ms
+        cause = RefusalCause.OVERLOADED if is_full else RefusalCause.NO_SERVER
+        self._give_up(work, cause, Ran.NO, '', 'route')
+
+    def expire(self, now_ms: float) -> None:
+        """Refuse the runs whose time is up, truly."""
+        deadlines = self._deadlines
+        while deadlines and (deadlines[0][0] <= now_ms or deadlines[0][2].is_done):
+            work = heappop(deadlines)[2]
+            if work.calls:
+                peer = work.calls[0].server.name
+                self._give_up(work, RefusalCause.DEADLINE, Ran.UNKNOWN, peer)
+            else:
+                self._give_up(work, RefusalCause.OVERLOADED, Ran.NO, '', 'route')
+
+    def _learn(self, call: Call, refusal: CallRefusal, now_ms: float) -> None:
+        if refusal.request_id != call.call_id:
+            self._context.count('crossed_replies')
+            self._outcomes.fail(call, now_ms)
+            return
+        self._outcomes.take_refusal_word(call.server, refusal, now_ms)
+        match refusal.reason:
+            case RefusalReason.SHED:
+                self._outcomes.shed(call, now_ms)
+            case RefusalReason.FAILED:
+                self._outcomes.fail(call, now_ms)
+            case _:
+                self._outcomes.take_not_run(call, refusal.reason, now_ms)
+
+    def _send_again(self, work: Work, now_ms: float, peer: str) -> None:
+        late = work.deadline_ms - now_ms < work.service.typical_ms
+        if work.is_done:
+            return
+        if late or len(work.tried) >= ATTEMPTS_MAX:
+            self._give_up(work, RefusalCause.BACKEND, Ran.NO, peer)
+            return
+        self._dispatcher.place(work, now_ms, Attempt.REROUTE)
+
+    def _give_up(
+        self,
+        work: Work,
+        cause: RefusalCause,
+        ran: Ran,
+        peer: str,
+        step: str = 'receive',
+    ) -> None:
+        if work.is_done:
+            return
+        run_id = work.parent.name
+        self._close(run_id)
+        self._context.refuse(run_id, cause, step, ran, peer)
+
+    def _close(self, run_id: str) -> None:
+        work = self.open.pop(run_id)
+        work.is_done = True
+
+    def _refuse_start(
+        self, event: RunArrived, cause: RefusalCause, wait_ms: float = 0
+    ) -> None:
+        self._context.refuse(event.run_id, cause, 'admit', retry_after_ms=wait_ms)
--- /dev/null
+++ b/cowsliploom/routing/_tracks.py
@@ -0,0 +1,245 @@
+"""What the router keeps of each server, service, query, run and call.
+
+The records are mutable and owned by the router's task: a query to very many shards
+changes some of them at every reply, and a copy of the whole each time would cost
+more than the call. The values inside them are frozen.
+"""
+
+import math
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cowsliploom.protocol import SearchReply
+from cowsliploom.resources import SearchSpec
+from cowsliploom.routing._admission import WaitEstimate
+from cowsliploom.routing._budget import TokenBudget
+from cowsliploom.routing._catalog import CatalogServer
+from cowsliploom.routing._latency import LatencyWindow
+from cowsliploom.routing._limiter import Limiter
+from cowsliploom.routing._messages import QueryArrived, RunArrived
+from cowsliploom.routing._queue import UrgencyQueue
+from cowsliploom.routing._shares import ShareCounter
+from cowsliploom.routing._snapshots import Plan
+from cowsliploom.routing._view import ServerView
+from cowsliploom.routing._warmup import Cold, Warmth, cold_allowance
+
+TYPICAL_MS = 10  # stands for a service's median until it has samples
+NEVER_MS = -math.inf
+RUN_ROUTE = 'run'
+
+
+class Attempt(StrEnum):
+    """Name why a call is sent, by the counter that it raises."""
+
+    FIRST = 'sub_requests'
+    HEDGE = 'hedges'
+    RETRY = 'retries'
+    REROUTE = 'reroutes'
+
+
+@dataclass(slots=True, eq=False)
+class ServerTrack:
+    """Keep one backend server.
+
+    Parameters
+    ----------
+    server : CatalogServer
+        What the configuration says.
+    version : str
+        Version by the server's own latest word, else the configured one.
+    local : bool
+        Whether the server is in the entry VM's own data centre.
+    warmth : Warm or Cold
+        Cold start.
+    limiter : Limiter
+        Adaptive limit of calls in flight.
+    """
+
+    server: CatalogServer
+    version: str
+    local: bool
+    warmth: Warmth
+    limiter: Limiter
+    ceiling: float = 1
+    preference: float = 1
+    view: ServerView = ServerView()
+    in_flight: int = 0
+    sent_ms: float = NEVER_MS
+    incarnation: str = ''
+    past_incarnations: tuple[str, ...] = ()
+    is_known: bool = False
+    is_gone: bool = False
+    is_out: bool = False
+    is_leaving: bool = False
+    is_listed_leaving: bool = False
+    is_owned: bool = False
+    failures: int = 0
+    refused_connections: int = 0
+    probes_failed: int = 0
+    down_until_ms: float = NEVER_MS
+    retired_ms: float = NEVER_MS
+    reported_ms: float = NEVER_MS
+    reported_ceiling: float = 1
+    reported_cold: int = 0
+    connections_max: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the server's name."""
+        return self.server.spec.name
+
+    @property
+    def is_cold(self) -> bool:
+        """Tell whether the server is taken as cold."""
+        return isinstance(self.warmth, Cold)
+
+    @property
+    def is_blocked(self) -> bool:
+        """Tell whether the server gets no new work at all."""
+        return self.is_out or self.is_leaving or self.is_listed_leaving or self.is_gone
+
+    def is_reachable(self, now_ms: float) -> bool:
+        """Tell whether the server may get work when it has room."""
+        if self.is_blocked or now_ms < self.down_until_ms:
+            return False
+        return self.is_owned or not self.is_cold
+
+    def has_room(self, now_ms: float, typical_ms: float, fresh_ms: float) -> bool:
+        """Tell whether a reachable server bears one more call now."""
+        in_flight = self.in_flight
+        if self.failures and in_flight:
+            return False  # after failures one call at a time tests the server
+        is_fresh = now_ms - self.reported_ms <= fresh_ms
+        warmth = self.warmth
+        if isinstance(warmth, Cold):
+            reported = self.reported_cold if is_fresh else None
+            return in_flight < cold_allowance(warmth, self.is_owned, reported)
+        if is_fresh and in_flight >= self.reported_ceiling:
+            return False
+        return self.limiter.allows(in_flight, now_ms - self.sent_ms, typical_ms)
+
+
+@dataclass(slots=True, eq=False)
+class ServiceTrack:
+    """Keep one service.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    queue : UrgencyQueue
+        Requests that wait for a server with room.
+    budget : TokenBudget
+        Extra sub-requests that the service may get.
+    """
+
+    name: str
+    queue: UrgencyQueue['Work']
+    budget: TokenBudget
+    servers: tuple[ServerTrack, ...] = ()
+    window: LatencyWindow = LatencyWindow()
+    move: ShareCounter | None = None
+    estimate: WaitEstimate = WaitEstimate()
+    shed_ms: float = NEVER_MS
+
+    @property
+    def typical_ms(self) -> float:
+        """Return the service's median latency, in milliseconds."""
+        return self.window.quantile(0.5, TYPICAL_MS)
+
+
+@dataclass(slots=True, eq=False)
+class OpenQuery:
+    """Keep one query until it is answered.
+
+    Parameters
+    ----------
+    event : QueryArrived
+        The caller's query.
+    search : SearchSpec
+        Its search kind, as configured on arrival.
+    plan : Plan
+        Pinned snapshot.
+    deadline_ms : float
+        Time by which it is answered with what there is.
+    """
+
+    event: QueryArrived
+    search: SearchSpec
+    plan: Plan
+    deadline_ms: float
+    attempts: int = 0
+    restarts: int = 0
+    is_closed: bool = False
+    open_works: dict[str, 'Work'] = field(default_factory=dict)
+    replies: dict[str, SearchReply] = field(default_factory=dict)
+
+    @property
+    def name(self) -> str:
+        """Return the query's identity."""
+        return self.event.query_id
+
+    @property
+    def route(self) -> str:
+        """Return the search kind, as the route of samples."""
+        return self.event.search
+
+
+@dataclass(slots=True, eq=False)
+class OpenRun:
+    """Keep one non-idempotent request until it is answered."""
+
+    event: RunArrived
+    deadline_ms: float
+    attempts: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the request's identity."""
+        return self.event.run_id
+
+    @property
+    def route(self) -> str:
+        """Return the one route of non-idempotent requests, for samples."""
+        return RUN_ROUTE
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """Keep one sub-request or run that wants a server's answer.
+
+    Parameters
+    ----------
+    service : ServiceTrack
+        Service that is asked.
+    parent : OpenQuery or OpenRun
+        Query or run that it belongs to.
+    urgency : int
+        1 (least urgent) to 9 (most urgent).
+    deadline_ms : float
+        Time by which an answer is of use.
+    snapshot : int or None
+        Pinned snapshot; None for a run.
+    """
+
+    service: ServiceTrack
+    parent: OpenQuery | OpenRun
+    urgency: int
+    deadline_ms: float
+    snapshot: int | None = None
+    attempt: Attempt = Attempt.FIRST
+    tried: tuple[str, ...] = ()
+    calls: list['Call'] = field(default_factory=list)
+    is_hedged: bool = False
+    is_done: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """Keep one attempt while it is in flight."""
+
+    call_id: str
+    work: Work
+    server: ServerTrack
+    sent_ms: float
+    is_cold: bool
