Claim idempotency keys in the platform's store, at most once

Weighed: a claim's owner clock against the store's clock for expiry; only the store's own readings count, taken after the claim was written. A write without an answer is read back; while a refused claim's write may still land, the same version is written again, so the late one can't land, and what has landed is recorded as not run by its owner.

Ruled out: granting on a cached copy without a write; taking over another daemon's claim, as its request may be on its way.

--- /dev/null
+++ b/cowsliploom/daemons/_claims_task.py
@@ -0,0 +1,200 @@
+"""Task that owns the claim book and its calls on the platform's store."""
+
+import queue
+import secrets
+import threading
+from collections import Counter
+from collections.abc import Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+from types import TracebackType
+
+from cowsliploom.coordination import (
+    ClaimAsked,
+    ClaimBook,
+    ClaimTick,
+    Decided,
+    Granted,
+    NotRunKnown,
+    OutcomeKnown,
+    ReadSegment,
+    SegmentRead,
+    SegmentSwapped,
+    StoreOut,
+    SwapSegment,
+    digest_key,
+    segment_key,
+)
+from cowsliploom.coordination._claims import ClaimCommand, ClaimEvent, Decision
+from cowsliploom.ports import Clock, Store
+
+MS_PER_S = 1000
+TICK_MS = 20  # a claim is refused at most this late after its deadline
+STORE_TIMEOUT_MS = 500  # the store answers in milliseconds when it is well
+STORE_WORKERS = 4  # segments are independent, so a slow call holds up few others
+DRAIN_MS = 2000  # outcomes get this long to reach the store at shutdown
+NONCE_BYTES = 6  # two processes of one name and incarnation stay apart
+
+
+class ClaimsTask:
+    """Claim idempotency keys in the platform's store, in a thread of its own.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    clock : Clock
+        Clock whose monotonic time the deadlines are in.
+    owner : str
+        Name and incarnation of this daemon.
+
+    Examples
+    --------
+    ::
+
+        with ClaimsTask(store, clock, 'entry-1#1') as claims:
+            decision = claims.claim(caller, key, digest, deadline_ms).result()
+            match decision:
+                case Granted() if decision.may_send(clock.now_ms()):
+                    claims.finish(decision, send_once())
+    """
+
+    def __init__(self, store: Store, clock: Clock, owner: str) -> None:
+        self.store = store
+        self.clock = clock
+        self.owner = owner
+        self._inbox: queue.SimpleQueue[ClaimEvent | None] = queue.SimpleQueue()
+        self._futures: dict[int, Future[Decision]] = {}
+        self._tickets = 0
+        self._ticket_lock = threading.Lock()
+        self._ticked_ms = float('-inf')
+        self._stopped = threading.Event()
+        self._calls: Counter[str] = Counter()
+        self._thread = threading.Thread(target=self._run, name='claims', daemon=True)
+        self._workers = ThreadPoolExecutor(STORE_WORKERS, 'claims-store')
+
+    def __enter__(self) -> 'ClaimsTask':
+        """Start the thread."""
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Write what is open, for a bounded time, and stop."""
+        self._inbox.put(None)
+        self._thread.join()
+        self._workers.shutdown(wait=True)
+
+    def claim(
+        self, caller: str, key: str, request_digest: str, deadline_ms: float
+    ) -> Future[Decision]:
+        """Ask for a claim on a caller's idempotency key.
+
+        Parameters
+        ----------
+        caller, key : str
+            Caller and its idempotency key.
+        request_digest : str
+            Digest of body and target, see ``digest_request``.
+        deadline_ms : float
+            Monotonic time after which the request must not be sent.
+
+        Returns
+        -------
+        Future of Granted, Replay, InFlight, Mismatch or StoreOut
+            Done within the deadline, also while the store is out.
+        """
+        now_ms = self.clock.now_ms()
+        future: Future[Decision] = Future()
+        with self._ticket_lock:
+            self._tickets += 1
+            ticket = self._tickets
+            self._futures[ticket] = future
+        digest = digest_key(caller, key)
+        self._inbox.put(ClaimAsked(now_ms, ticket, digest, request_digest, deadline_ms))
+        if self._stopped.is_set():
+            self._fail_open('the claims task has stopped')
+        return future
+
+    def finish(self, granted: Granted, outcome: str) -> None:
+        """Record the outcome of a granted request; returns at once."""
+        self._inbox.put(OutcomeKnown(self.clock.now_ms(), granted, outcome))
+
+    def not_run(self, granted: Granted) -> None:
+        """Record that a granted request has not run and will never be sent."""
+        self._inbox.put(NotRunKnown(self.clock.now_ms(), granted))
+
+    def store_calls(self) -> Mapping[str, int]:
+        """Return the calls on the store so far, by kind."""
+        return dict(self._calls)
+
+    def _run(self) -> None:
+        book = ClaimBook(f'{self.owner}#{secrets.token_hex(NONCE_BYTES)}')
+        while self._take(book, self._inbox_event(idle=not book)):
+            self._tick_when_due(book)
+        stop_by_ms = self.clock.now_ms() + DRAIN_MS
+        while book and self.clock.now_ms() < stop_by_ms:
+            self._take(book, self._inbox_event(idle=False))
+            self._tick_when_due(book)
+        self._stopped.set()
+        self._fail_open('the claims task is stopping')
+
+    def _take(self, book: ClaimBook, event: ClaimEvent | None) -> bool:
+        if event is None:
+            return False
+        for command in book.step(event):
+            self._perform(command)
+        return True
+
+    def _tick_when_due(self, book: ClaimBook) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms >= self._ticked_ms + TICK_MS:
+            self._ticked_ms = now_ms
+            self._take(book, ClaimTick(now_ms))
+
+    def _inbox_event(self, *, idle: bool) -> ClaimEvent | None:
+        timeout_s = None if idle else TICK_MS / MS_PER_S
+        try:
+            return self._inbox.get(timeout=timeout_s)
+        except queue.Empty:
+            return ClaimTick(self.clock.now_ms())
+
+    def _perform(self, command: ClaimCommand) -> None:
+        match command:
+            case ReadSegment():
+                self._workers.submit(self._read, command)
+            case SwapSegment():
+                self._workers.submit(self._swap, command)
+            case Decided(ticket, decision):
+                self._answer(ticket, decision)
+
+    def _answer(self, ticket: int, decision: Decision) -> None:
+        future = self._futures.pop(ticket)
+        if future.set_running_or_notify_cancel():
+            future.set_result(decision)
+        elif isinstance(decision, Granted):
+            self.not_run(decision)
+
+    def _read(self, command: ReadSegment) -> None:
+        self._calls['read'] += 1
+        answer = self.store.read(segment_key(command.segment), STORE_TIMEOUT_MS)
+        self._inbox.put(SegmentRead(self.clock.now_ms(), command.segment, answer))
+
+    def _swap(self, command: SwapSegment) -> None:
+        self._calls['swap'] += 1
+        answer = self.store.swap(
+            segment_key(command.segment),
+            command.text,
+            command.expected_version,
+            STORE_TIMEOUT_MS,
+        )
+        self._inbox.put(SegmentSwapped(self.clock.now_ms(), command.segment, answer))
+
+    def _fail_open(self, reason: str) -> None:
+        for ticket in tuple(self._futures):
+            future = self._futures.pop(ticket, None)
+            if future is not None and future.set_running_or_notify_cancel():
+                future.set_result(StoreOut('claim.stop', reason, 0))
