--- a/cowsliploom/daemons/_entry_backends.py
+++ b/cowsliploom/daemons/_entry_backends.py
@@ -59,15 +59,13 @@
 
     Parameters
     ----------
-    post : callable
-        Takes the router's events; called on worker threads.
     clock : Clock
         Clock of the events.
     """
 
-    def __init__(self, post: Post, clock: Clock) -> None:
-        self._post = post
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._post: Post = _drop
         self._servers: dict[str, BackendServer] = {}
 
     def __enter__(self) -> 'Backends':
@@ -85,6 +83,10 @@
             server.close()
         self._servers = {}
 
+    def report_to(self, post: Post) -> None:
+        """Give the router's events to ``post``, on worker threads."""
+        self._post = post
+
     def apply(self, specs: Mapping[str, ServerSpec]) -> None:
         """Open what is new, close what is gone or has moved."""
         for name, server in tuple(self._servers.items()):
@@ -144,6 +146,10 @@
         self._post(event_of(self._clock.now_ms(), server, call_id, outcome))
 
 
+def _drop(_event: Event) -> None:
+    """Drop an event that comes before anybody listens."""
+
+
 class _ReportPost:
     """Post a probe's reports as the router's events."""
 
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -121,6 +121,7 @@
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Take messages on a loop from now on."""
         self._loop = loop
+        self._backends.report_to(self.post)
         loop.call_soon(self._tick)
 
     def post(self, message: Message) -> None:
--- /dev/null
+++ b/cowsliploom/daemons/_entry_vms.py
@@ -0,0 +1,81 @@
+"""The task that reads the platform's list of VMs."""
+
+import random
+import threading
+from collections.abc import Callable
+from types import TracebackType
+
+from cowsliploom.ports import Store
+from cowsliploom.protocol import VmList
+
+LIST_TIMEOUT_MS = 1000  # the platform answers in milliseconds when it is up
+CHOSEN_INTERVAL_MS = 1000  # leaving servers must be known within 3 s
+OTHER_MIN_MS = 20000  # a last resort; the chosen ones tell the others by gossip
+OTHER_MAX_MS = 40000
+RETRY_MS = 500  # until the first list has been read
+MS_PER_S = 1000
+
+
+class VmListReader:
+    """Read the list of VMs often if chosen, else rarely.
+
+    Parameters
+    ----------
+    store : Store
+        The platform; used by this task's thread only.
+    on_list : callable
+        Takes each list, on this task's thread.
+    seed : int
+        Seed of the jitter.
+    """
+
+    def __init__(
+        self, store: Store, on_list: Callable[[VmList], None], seed: int
+    ) -> None:
+        self._store = store
+        self._on_list = on_list
+        self._random = random.Random(seed)
+        self._chosen = True
+        self._listed = False
+        self._stopped = False
+        self._wake = threading.Event()
+
+    def __enter__(self) -> 'VmListReader':
+        """Start the task."""
+        threading.Thread(target=self._run, name='vm-list', daemon=True).start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Ask the task to end."""
+        self._stopped = True
+        self._wake.set()
+
+    def choose(self, *, chosen: bool) -> None:
+        """Take whether this entry VM reads the list for its data centre."""
+        if chosen != self._chosen:
+            self._chosen = chosen
+            self._wake.set()
+
+    def _run(self) -> None:
+        while not self._stopped:
+            self._wake.clear()
+            self._read()
+            self._wake.wait(self._pause_ms() / MS_PER_S)
+
+    def _read(self) -> None:
+        answer = self._store.list_vms(LIST_TIMEOUT_MS)
+        if isinstance(answer, VmList):
+            self._listed = True
+            self._on_list(answer)
+
+    def _pause_ms(self) -> float:
+        if not self._listed:
+            return self._random.uniform(0, RETRY_MS)
+        if self._chosen:
+            return CHOSEN_INTERVAL_MS
+        return self._random.uniform(OTHER_MIN_MS, OTHER_MAX_MS)
