Give the fleet a membership, news and ownership over grpclib peers

The daemons need to know one another, to spread the configuration without each asking the store, and to agree on one owner of each cold backend server.

Weighed: probing random members of the whole data centre (SWIM as published) needs a new connection for nearly each probe at 325 members; probing the successors on five pseudo-random rings (as Rapid does) keeps a handful of connections and is an expander, so it was taken. Other data centres' members are copied as a whole sample from their own contacts instead of being judged from afar, so that a cut between data centres removes nobody.

Hold-off and dissemination are not yet proved by tests.

--- /dev/null
+++ b/cowsliploom/adapters/_peer_codec.py
@@ -0,0 +1,157 @@
+"""Peer frames as protocol buffers."""
+
+from cowsliploom.adapters import peer_pb2
+from cowsliploom.coordination import (
+    DataCentreAge,
+    DataCentreSample,
+    Fact,
+    FetchAnswer,
+    FetchAsk,
+    Frame,
+    FrameKind,
+    Member,
+    MemberState,
+    MemberUpdate,
+    News,
+)
+
+
+def encode_frame(frame: Frame) -> peer_pb2.Frame:
+    """Return a frame as its message."""
+    return peer_pb2.Frame(
+        kind=frame.kind,
+        sender=_encode_member(frame.sender),
+        digest=frame.digest,
+        updates=map(_encode_update, frame.updates),
+        samples=map(_encode_sample, frame.samples),
+        ages=map(_encode_age, frame.ages),
+        target=frame.target,
+        unreached=not frame.reached,
+        applied_revision=frame.applied_revision,
+        revision=frame.news.revision,
+        fact_digest=frame.news.fact_digest,
+        facts=map(_encode_fact, frame.news.facts),
+    )
+
+
+def decode_frame(message: peer_pb2.Frame) -> Frame:
+    """Return a message as its frame.
+
+    Raises
+    ------
+    ValueError
+        If a number stands for no kind or state.
+    """
+    facts = tuple(map(_decode_fact, message.facts))
+    return Frame(
+        kind=FrameKind(message.kind),
+        sender=_decode_member(message.sender),
+        digest=message.digest,
+        updates=tuple(map(_decode_update, message.updates)),
+        samples=tuple(map(_decode_sample, message.samples)),
+        ages=tuple(map(_decode_age, message.ages)),
+        target=message.target,
+        reached=not message.unreached,
+        applied_revision=message.applied_revision,
+        news=News(message.revision, message.fact_digest, facts),
+    )
+
+
+def encode_ask(ask: FetchAsk) -> peer_pb2.FetchRequest:
+    """Return a question for news as its message."""
+    return peer_pb2.FetchRequest(
+        after_revision=ask.after_revision, wants_facts=ask.wants_facts
+    )
+
+
+def decode_ask(message: peer_pb2.FetchRequest) -> FetchAsk:
+    """Return a message as a question for news."""
+    return FetchAsk(message.after_revision, message.wants_facts)
+
+
+def encode_answer(answer: FetchAnswer) -> peer_pb2.FetchReply:
+    """Return an answer with news as its message."""
+    return peer_pb2.FetchReply(
+        revision=answer.revision,
+        base_revision=answer.base_revision,
+        prefix_bytes=answer.prefix_bytes,
+        suffix_bytes=answer.suffix_bytes,
+        middle=answer.middle,
+        digest=answer.digest,
+        facts=map(_encode_fact, answer.facts),
+    )
+
+
+def decode_answer(message: peer_pb2.FetchReply) -> FetchAnswer:
+    """Return a message as an answer with news."""
+    return FetchAnswer(
+        message.revision,
+        message.base_revision,
+        message.prefix_bytes,
+        message.suffix_bytes,
+        message.middle,
+        message.digest,
+        tuple(map(_decode_fact, message.facts)),
+    )
+
+
+def _encode_member(member: Member) -> peer_pb2.Member:
+    return peer_pb2.Member(
+        name=member.name,
+        address=member.address,
+        data_centre=member.data_centre,
+        incarnation=member.incarnation,
+    )
+
+
+def _decode_member(message: peer_pb2.Member) -> Member:
+    return Member(
+        message.name, message.address, message.data_centre, message.incarnation
+    )
+
+
+def _encode_update(update: MemberUpdate) -> peer_pb2.MemberUpdate:
+    return peer_pb2.MemberUpdate(
+        member=_encode_member(update.member),
+        state=update.state,
+        applied_revision=update.applied_revision,
+    )
+
+
+def _decode_update(message: peer_pb2.MemberUpdate) -> MemberUpdate:
+    return MemberUpdate(
+        _decode_member(message.member),
+        MemberState(message.state),
+        message.applied_revision,
+    )
+
+
+def _encode_sample(sample: DataCentreSample) -> peer_pb2.DataCentreSample:
+    return peer_pb2.DataCentreSample(
+        data_centre=sample.data_centre,
+        members=map(_encode_update, sample.members),
+        age_ms=int(sample.age_ms),
+    )
+
+
+def _decode_sample(message: peer_pb2.DataCentreSample) -> DataCentreSample:
+    members = tuple(map(_decode_update, message.members))
+    return DataCentreSample(message.data_centre, members, message.age_ms)
+
+
+def _encode_age(age: DataCentreAge) -> peer_pb2.DataCentreAge:
+    return peer_pb2.DataCentreAge(
+        data_centre=age.data_centre, age_ms=int(age.age_ms), digest=age.digest
+    )
+
+
+def _decode_age(message: peer_pb2.DataCentreAge) -> DataCentreAge:
+    return DataCentreAge(message.data_centre, message.age_ms, message.digest)
+
+
+def _encode_fact(fact: Fact) -> peer_pb2.Fact:
+    return peer_pb2.Fact(key=fact.key, generation=fact.generation, blob=fact.blob)
+
+
+def _decode_fact(message: peer_pb2.Fact) -> Fact:
+    return Fact(message.key, message.generation, message.blob)
--- a/cowsliploom/coordination/__init__.py
+++ b/cowsliploom/coordination/__init__.py
@@ -1,1 +1,57 @@
-"""Package coordination of cowsliploom."""
+"""Coordination parts that others embed: membership, ownership, news, leases."""
+
+from cowsliploom.coordination._members import Member as Member
+from cowsliploom.coordination._members import MemberState as MemberState
+from cowsliploom.coordination._members import MemberStatus as MemberStatus
+from cowsliploom.coordination._members import MemberUpdate as MemberUpdate
+from cowsliploom.coordination._membership import Membership as Membership
+from cowsliploom.coordination._messages import AnswerPeer as AnswerPeer
+from cowsliploom.coordination._messages import CallPeer as CallPeer
+from cowsliploom.coordination._messages import ClaimedDead as ClaimedDead
+from cowsliploom.coordination._messages import ContactMade as ContactMade
+from cowsliploom.coordination._messages import DataCentreAge as DataCentreAge
+from cowsliploom.coordination._messages import DataCentreSample as DataCentreSample
+from cowsliploom.coordination._messages import Fact as Fact
+from cowsliploom.coordination._messages import Frame as Frame
+from cowsliploom.coordination._messages import FrameKind as FrameKind
+from cowsliploom.coordination._messages import LeaveAsked as LeaveAsked
+from cowsliploom.coordination._messages import MembersChanged as MembersChanged
+from cowsliploom.coordination._messages import News as News
+from cowsliploom.coordination._messages import PeerAnswered as PeerAnswered
+from cowsliploom.coordination._messages import PeerCalled as PeerCalled
+from cowsliploom.coordination._messages import PeerFailed as PeerFailed
+from cowsliploom.coordination._messages import RevisionApplied as RevisionApplied
+from cowsliploom.coordination._messages import SeedsListed as SeedsListed
+from cowsliploom.coordination._messages import Superseded as Superseded
+from cowsliploom.coordination._messages import Ticked as Ticked
+from cowsliploom.coordination._rendezvous import chosen_watchers as chosen_watchers
+from cowsliploom.coordination._rendezvous import rank_names as rank_names
+from cowsliploom.coordination._settings import (
+    MembershipSettings as MembershipSettings,
+)
+from cowsliploom.coordination._settings import (
+    check_membership_settings as check_membership_settings,
+)
+from cowsliploom.coordination._dissemination import (
+    ConfigurationHeard as ConfigurationHeard,
+)
+from cowsliploom.coordination._dissemination import Dissemination as Dissemination
+from cowsliploom.coordination._dissemination import FactHeard as FactHeard
+from cowsliploom.coordination._dissemination import FetchAnswer as FetchAnswer
+from cowsliploom.coordination._dissemination import FetchAsk as FetchAsk
+from cowsliploom.coordination._node import AnswerFetch as AnswerFetch
+from cowsliploom.coordination._node import (
+    ConfigurationAnnounced as ConfigurationAnnounced,
+)
+from cowsliploom.coordination._node import FactAnnounced as FactAnnounced
+from cowsliploom.coordination._node import FetchAnswered as FetchAnswered
+from cowsliploom.coordination._node import FetchAsked as FetchAsked
+from cowsliploom.coordination._node import FetchFailed as FetchFailed
+from cowsliploom.coordination._node import FetchNews as FetchNews
+from cowsliploom.coordination._node import Node as Node
+from cowsliploom.coordination._node import NodeCommand as NodeCommand
+from cowsliploom.coordination._node import NodeEvent as NodeEvent
+from cowsliploom.coordination._node import OwnershipChanged as OwnershipChanged
+from cowsliploom.coordination._node import ServersWatched as ServersWatched
+from cowsliploom.coordination._ownership import Ownership as Ownership
+from cowsliploom.coordination._ownership import WatchedServer as WatchedServer
--- /dev/null
+++ b/cowsliploom/coordination/_dissemination.py
@@ -0,0 +1,207 @@
+"""Spreading the configuration and grow-only facts from member to member."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import xxhash
+
+from cowsliploom.coordination._messages import Fact, News
+from cowsliploom.coordination._piggyback import PiggybackQueue
+
+FACTS_PER_FRAME = 4  # facts carry content, so few fit a small frame
+BLOBS_KEPT = 4  # older revisions that a change can be told against
+
+
+@dataclass(frozen=True, slots=True)
+class FetchAsk:
+    """Ask a peer for the configuration above a revision, and for its facts."""
+
+    after_revision: int
+    wants_facts: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FetchAnswer:
+    """Return a configuration as a change to an older one, or whole.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the configuration; 0 when there is no higher one.
+    base_revision : int
+        Revision that ``middle`` changes; 0 when ``middle`` is the whole.
+    prefix_bytes, suffix_bytes : int
+        Bytes at both ends that stay as they are in the older one.
+    middle : bytes
+        What stands between them.
+    digest : int
+        Sum of the whole configuration.
+    facts : tuple of Fact
+        All facts, when they were asked for.
+    """
+
+    revision: int = 0
+    base_revision: int = 0
+    prefix_bytes: int = 0
+    suffix_bytes: int = 0
+    middle: bytes = b''
+    digest: int = 0
+    facts: tuple[Fact, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationHeard:
+    """Tell of a configuration of a higher revision than any before."""
+
+    revision: int
+    blob: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class FactHeard:
+    """Tell of a fact of a higher generation than any before under its key."""
+
+    fact: Fact
+
+
+def _fact_hash(fact: Fact) -> int:
+    return xxhash.xxh3_64_intdigest(f'{fact.key}\n{fact.generation}'.encode())
+
+
+class Dissemination:
+    """Hold the newest configuration and facts, and spread them.
+
+    Parameters
+    ----------
+    blobs_kept : int
+        Configurations kept so that a peer with one of them gets only the change.
+        Default 4.
+
+    Examples
+    --------
+    >>> news = Dissemination()
+    >>> news.announce_configuration(7, b'seven')
+    True
+    >>> news.announce_configuration(6, b'six')
+    False
+    >>> news.answer(FetchAsk(after_revision=0)).middle
+    b'seven'
+    """
+
+    def __init__(self, blobs_kept: int = BLOBS_KEPT) -> None:
+        self.blobs_kept = blobs_kept
+        self.revision = 0
+        self.fact_digest = 0
+        self._blobs: OrderedDict[int, bytes] = OrderedDict()
+        self._facts: dict[str, Fact] = {}
+        self._queue = PiggybackQueue[Fact](FACTS_PER_FRAME)
+
+    def announce_configuration(self, revision: int, blob: bytes) -> bool:
+        """Take a configuration if its revision is higher; tell whether it was."""
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        self._blobs[revision] = blob
+        while len(self._blobs) > self.blobs_kept:
+            self._blobs.popitem(last=False)
+        return True
+
+    def announce_fact(self, fact: Fact) -> bool:
+        """Take a fact if its generation is higher; tell whether it was."""
+        known = self._facts.get(fact.key)
+        if known is not None:
+            if fact.generation <= known.generation:
+                return False
+            self.fact_digest ^= _fact_hash(known)
+        self._facts[fact.key] = fact
+        self.fact_digest ^= _fact_hash(fact)
+        self._queue.put(fact.key, fact)
+        return True
+
+    def news(self, fleet_size: int) -> News:
+        """Return what the next frame carries."""
+        return News(self.revision, self.fact_digest, self._queue.take(fleet_size))
+
+    def hear(self, news: News) -> tuple[FactHeard, ...]:
+        """Take the facts on a frame and return the new ones."""
+        return self._take_facts(news.facts)
+
+    def ask_for(self, news: News) -> FetchAsk | None:
+        """Return what to fetch from the sender of a frame, if anything."""
+        is_quiet = not (news.facts or self._queue)
+        wants_facts = is_quiet and news.fact_digest != self.fact_digest
+        if news.revision > self.revision or wants_facts:
+            return FetchAsk(self.revision, wants_facts)
+        return None
+
+    def answer(self, ask: FetchAsk) -> FetchAnswer:
+        """Return the newest configuration, as a change where possible."""
+        facts = tuple(self._facts.values()) if ask.wants_facts else ()
+        if ask.after_revision >= self.revision:
+            return FetchAnswer(facts=facts)
+        blob = self._blobs[self.revision]
+        digest = xxhash.xxh3_64_intdigest(blob)
+        base = self._blobs.get(ask.after_revision)
+        if base is None:
+            return FetchAnswer(self.revision, middle=blob, digest=digest, facts=facts)
+        prefix = _common_prefix(base, blob)
+        shorter = min(len(base), len(blob)) - prefix
+        suffix = _common_suffix(base, blob, shorter)
+        middle = blob[prefix : len(blob) - suffix]
+        return FetchAnswer(
+            self.revision, ask.after_revision, prefix, suffix, middle, digest, facts
+        )
+
+    def take(self, answer: FetchAnswer) -> tuple[ConfigurationHeard | FactHeard, ...]:
+        """Take a fetched answer whole, or not at all.
+
+        Parameters
+        ----------
+        answer : FetchAnswer
+            What a peer returned.
+
+        Returns
+        -------
+        tuple
+            What is new to this daemon.
+        """
+        heard = self._take_facts(answer.facts)
+        if answer.revision <= self.revision:
+            return heard
+        blob = self._rebuild(answer)
+        if blob is None or xxhash.xxh3_64_intdigest(blob) != answer.digest:
+            return heard
+        self.announce_configuration(answer.revision, blob)
+        return (*heard, ConfigurationHeard(answer.revision, blob))
+
+    def _rebuild(self, answer: FetchAnswer) -> bytes | None:
+        if not answer.base_revision:
+            return answer.middle
+        base = self._blobs.get(answer.base_revision)
+        if base is None:
+            return None
+        end = len(base) - answer.suffix_bytes
+        return base[: answer.prefix_bytes] + answer.middle + base[end:]
+
+    def _take_facts(self, facts: tuple[Fact, ...]) -> tuple[FactHeard, ...]:
+        return tuple(FactHeard(fact) for fact in facts if self.announce_fact(fact))
+
+
+def _common_prefix(old: bytes, new: bytes) -> int:
+    """Return how many bytes both begin with, by halving."""
+    low = 0
+    high = min(len(old), len(new))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if old[low:middle] == new[low:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def _common_suffix(old: bytes, new: bytes, length_max: int) -> int:
+    """Return how many bytes both end with, at most ``length_max``."""
+    old_end = bytes(reversed(old))
+    new_end = bytes(reversed(new))
+    return min(_common_prefix(old_end, new_end), length_max)
--- /dev/null
+++ b/cowsliploom/coordination/_exchanger.py
@@ -0,0 +1,137 @@
+"""Whole views and samples: joining, syncing, and the other data centres."""
+
+from collections import defaultdict
+from dataclasses import replace
+
+from cowsliploom.coordination._calls import CallPurpose
+from cowsliploom.coordination._local_member import Commands, LocalMember
+from cowsliploom.coordination._members import Member, MemberState
+from cowsliploom.coordination._messages import Frame, FrameKind
+
+SYNC_INTERVAL_MS = 1000  # a sync is large; views differ for a moment after each change
+
+
+class Exchanger:
+    """Exchange whole views within the data centre, and samples between them.
+
+    Parameters
+    ----------
+    local : LocalMember
+        State shared with the other parts.
+    """
+
+    def __init__(self, local: LocalMember) -> None:
+        self.local = local
+        self._seeds: tuple[Member, ...] = ()
+        self._next_sync_ms: float = 0
+        self._next_contact_ms: float = 0
+        self._next_reconnect_ms: float = 0
+        self._turn = 0
+
+    def tick(self, now_ms: float, out: Commands) -> None:
+        """Send the exchanges that are due."""
+        if now_ms >= self._next_contact_ms:
+            self._contact_next(now_ms, out)
+        if now_ms >= self._next_reconnect_ms:
+            self._reconnect(now_ms, out)
+
+    def take_seeds(self, now_ms: float, seeds: tuple[Member, ...]) -> None:
+        """Take the platform's list, by data centre."""
+        listed: defaultdict[str, tuple[Member, ...]] = defaultdict(tuple)
+        for seed in seeds:
+            listed[seed.data_centre] += (seed,)
+        self._seeds = listed.pop(self.local.me.data_centre, ())
+        self.local.others.take_list(now_ms, dict(listed))
+        self._next_reconnect_ms = now_ms
+
+    def take_frame(self, now_ms: float, frame: Frame, out: Commands) -> None:
+        """Take what a frame tells of samples and of the sender's whole view."""
+        others = self.local.others
+        for sample in frame.samples:
+            heard_ms = now_ms - sample.age_ms
+            others.take(sample.data_centre, heard_ms, sample.members)
+        sender = frame.sender
+        if sender.data_centre != self.local.me.data_centre:
+            if others.confirm(sender.data_centre, now_ms, frame.digest):
+                self._fetch_sample(now_ms, sender.data_centre, sender, out)
+            return
+        for age in frame.ages:
+            heard_ms = now_ms - age.age_ms
+            if others.confirm(age.data_centre, heard_ms, age.digest):
+                self._fetch_sample(now_ms, age.data_centre, sender, out)
+        is_quiet = not (frame.updates or self.local.queue)
+        if is_quiet and frame.digest != self.local.view.digest:
+            self._sync(now_ms, sender, out)
+
+    def farewell(self, now_ms: float, out: Commands) -> None:
+        """Tell some members at once; the update spreads from there."""
+        local = self.local
+        local.tell_self(MemberState.LEFT)
+        live = local.view.live()
+        count = min(local.settings.rings, len(live))
+        targets = list(local.random.sample(live, count))
+        for data_centre in local.others.names():
+            targets.extend(local.others.candidates(data_centre)[:1])
+        for target in targets:
+            frame = local.frame(FrameKind.PROBE, target, now_ms)
+            out.append(local.send(CallPurpose.CONTACT, frame, target, now_ms))
+
+    def hurry(self, now_ms: float) -> None:
+        """Look for members that are not in the view at the next tick."""
+        self._next_reconnect_ms = now_ms
+
+    def _fetch_sample(
+        self, now_ms: float, data_centre: str, target: Member, out: Commands
+    ) -> None:
+        if self.local.calls.is_open(CallPurpose.SAMPLE, data_centre):
+            return
+        frame = self.local.frame(FrameKind.SAMPLE, target, now_ms)
+        asking = replace(frame, target=data_centre)
+        out.append(self.local.send(CallPurpose.SAMPLE, asking, target, now_ms))
+
+    def _sync(self, now_ms: float, target: Member, out: Commands) -> None:
+        """Exchange whole views, at a bounded rate."""
+        local = self.local
+        if now_ms < self._next_sync_ms or local.calls.is_open(CallPurpose.SYNC):
+            return
+        self._next_sync_ms = now_ms + local.jitter(SYNC_INTERVAL_MS)
+        frame = local.whole_frame(FrameKind.SYNC, target, now_ms)
+        out.append(local.send(CallPurpose.SYNC, frame, target, now_ms))
+
+    def _reconnect(self, now_ms: float, out: Commands) -> None:
+        """Sync with one member that is listed or dead, but not in the view."""
+        local = self.local
+        interval_ms = local.settings.reconnect_interval_ms
+        if len(local.view) == 1:
+            interval_ms = local.settings.probe_interval_ms
+        self._next_reconnect_ms = now_ms + local.jitter(interval_ms)
+        dead = [
+            update.member
+            for update in local.view.records()
+            if update.state is MemberState.DEAD
+        ]
+        live = {member.name for member in local.view.live()}
+        listed = [seed for seed in self._seeds if seed.name not in live]
+        absent = [*listed, *dead]
+        if absent:
+            self._next_sync_ms = min(self._next_sync_ms, now_ms)
+            self._sync(now_ms, local.random.choice(absent), out)
+
+    def _contact_next(self, now_ms: float, out: Commands) -> None:
+        """Exchange with one other data centre, if this member is a contact."""
+        local = self.local
+        names = local.others.names()
+        interval_ms = local.settings.contact_interval_ms / max(len(names), 1)
+        self._next_contact_ms = now_ms + local.jitter(interval_ms)
+        if not (names and self._is_contact()):
+            return
+        self._turn += 1
+        candidates = local.others.candidates(names[self._turn % len(names)])
+        if candidates:
+            target = local.random.choice(candidates)
+            frame = local.frame(FrameKind.PROBE, target, now_ms)
+            out.append(local.send(CallPurpose.CONTACT, frame, target, now_ms))
+
+    def _is_contact(self) -> bool:
+        contacts = self.local.view.sample()[: self.local.settings.contacts]
+        return any(update.member.name == self.local.me.name for update in contacts)
--- /dev/null
+++ b/cowsliploom/coordination/_ownership.py
@@ -0,0 +1,223 @@
+"""Ownership of backend servers: one owner, or for a while none, never two."""
+
+from dataclasses import dataclass
+
+from cowsliploom.coordination._members import Member
+from cowsliploom.coordination._messages import MembersChanged
+from cowsliploom.coordination._rendezvous import rendezvous_score
+from cowsliploom.coordination._settings import MembershipSettings
+
+
+@dataclass(frozen=True, slots=True)
+class WatchedServer:
+    """Name a backend server that has to have an owner, and its data centre."""
+
+    server: str
+    data_centre: str
+
+
+@dataclass(slots=True)
+class _Winner:
+    score: int
+    name: str
+    since_ms: float
+
+
+class Ownership:
+    """Tell which backend servers this daemon owns, by rendezvous and hold-off.
+
+    Parameters
+    ----------
+    self_name : str
+        Name of this daemon.
+    data_centre : str
+        Its data centre.
+    settings : MembershipSettings
+        Gives the hold-off and the silence after which an owner gives up.
+
+    Notes
+    -----
+    A daemon owns a server while three things hold: it has ranked highest among
+    the live members for the hold-off; a member of its data centre answered a call
+    sent less than ``give_up_ms`` ago, or it is alone there and its own clock did
+    not jump; and nobody claimed it dead within the hold-off. The hold-off is the
+    sum of the time to give up, the time to spread an update and the longest
+    request in flight, so the old owner is silent before the new one begins, also
+    with clocks that differ in rate by 1%.
+
+    The assumption: those members of a data centre that run can reach each other,
+    directly or through one another, within the hold-off. Two halves of one data
+    centre that are cut from each other for longer than that each elect an owner;
+    without a store no design can tell a dead half from a cut one. The case is
+    ``test_split_inside_data_centre_elects_two_owners``.
+
+    Examples
+    --------
+    >>> ownership = Ownership('vm-1', 'de', MembershipSettings())
+    >>> ownership.watch(0, (WatchedServer('server-1', 'de'),))
+    >>> alone = MembersChanged((Member('vm-1', '', 'de'),), absent=True)
+    >>> ownership.members_changed(0, alone)
+    >>> ownership.owns('server-1', now_ms=0)
+    False
+    >>> for now_ms in range(0, 9000, 100):
+    ...     ownership.tick(now_ms)
+    >>> ownership.owns('server-1', now_ms=9000)
+    True
+    """
+
+    def __init__(
+        self, self_name: str, data_centre: str, settings: MembershipSettings
+    ) -> None:
+        self.self_name = self_name
+        self.data_centre = data_centre
+        self.settings = settings
+        self.has_left = False
+        self._watched: dict[str, str] = {}
+        self._winners: dict[str, _Winner] = {}
+        self._live: tuple[Member, ...] = ()
+        self._names: frozenset[str] = frozenset()
+        self._known: frozenset[str] = frozenset()
+        self._reachable: frozenset[str] = frozenset()
+        self._is_listed = False
+        self._has_joined = False
+        self._contact_ms: float | None = None
+
+    def watch(self, now_ms: float, servers: tuple[WatchedServer, ...]) -> None:
+        """Take the whole set of servers that need an owner."""
+        watched = {watched.server: watched.data_centre for watched in servers}
+        for server in set(self._winners).difference(watched):
+            self._winners.pop(server)
+        for server, data_centre in watched.items():
+            if self._watched.get(server) != data_centre:
+                self._winners.pop(server, None)
+        self._watched = watched
+        self._elect_all(now_ms)
+
+    def members_changed(self, now_ms: float, changed: MembersChanged) -> None:
+        """Take the live members and elect owners anew where it matters."""
+        was_alone = self._is_alone()
+        self._live = changed.live
+        names = frozenset(
+            member.name
+            for member in changed.live
+            if member.data_centre == self.data_centre
+        )
+        present = frozenset(member.data_centre for member in changed.live)
+        reachable = present.difference(changed.unreachable)
+        reachable = reachable.union((self.data_centre,))
+        known = present.union(changed.unreachable)
+        self._is_listed = changed.absent
+        self._has_joined = self._has_joined or changed.absent
+        has_moved = (self._known, self._reachable) != (known, reachable)
+        self._known = known
+        self._reachable = reachable
+        gone = self._names.difference(names)
+        joined = names.difference(self._names)
+        self._names = names
+        if not was_alone:
+            self.tick(now_ms)
+        if has_moved:
+            self._elect_all(now_ms)
+        else:
+            self._elect_after(now_ms, joined, gone)
+
+    def contact_made(self, sent_ms: float, now_ms: float) -> None:
+        """Note that a member of the data centre answered a call of ``sent_ms``."""
+        self._has_joined = True
+        if self._contact_ms is None or sent_ms > self._contact_ms:
+            self._note_contact(sent_ms, now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Let time pass; a daemon alone in its data centre hears only itself."""
+        if self._has_joined and self._is_alone():
+            self._note_contact(now_ms)
+
+    def claimed_dead(self, now_ms: float) -> None:
+        """Begin the hold-off anew: another member may have taken over."""
+        self._hold_off(now_ms)
+
+    def leave(self) -> None:
+        """Own nothing from now on."""
+        self.has_left = True
+
+    def owns(self, server: str, now_ms: float) -> bool:
+        """Tell whether this daemon owns a server, just before an act.
+
+        Parameters
+        ----------
+        server : str
+            Backend server to be acted on.
+        now_ms : float
+            Time by the own boot-time monotonic clock, read for this check.
+        """
+        winner = self._winners.get(server)
+        if winner is None or winner.name != self.self_name:
+            return False
+        held_ms = now_ms - winner.since_ms
+        return held_ms >= self.settings.hold_off_ms and self._is_heard(now_ms)
+
+    def owned(self, now_ms: float) -> frozenset[str]:
+        """Return the servers that this daemon owns at a time."""
+        if not self._is_heard(now_ms):
+            return frozenset()
+        return frozenset(
+            server for server in self._winners if self.owns(server, now_ms)
+        )
+
+    def elected(self, server: str) -> str:
+        """Return who ranks highest for a server; empty when nobody here does."""
+        winner = self._winners.get(server)
+        return '' if winner is None else winner.name
+
+    def _is_heard(self, now_ms: float) -> bool:
+        if self.has_left or self._contact_ms is None:
+            return False
+        return now_ms - self._contact_ms < self.settings.give_up_ms
+
+    def _is_alone(self) -> bool:
+        return self._names == {self.self_name}
+
+    def _note_contact(self, contact_ms: float, now_ms: float | None = None) -> None:
+        """Move the last contact on; after a gap the hold-off begins anew."""
+        last_ms = self._contact_ms
+        self._contact_ms = contact_ms
+        if last_ms is None or contact_ms - last_ms >= self.settings.give_up_ms:
+            self._hold_off(contact_ms if now_ms is None else now_ms)
+
+    def _hold_off(self, now_ms: float) -> None:
+        for winner in self._winners.values():
+            winner.since_ms = now_ms
+
+    def _elect_all(self, now_ms: float) -> None:
+        for server in self._watched:
+            self._elect(server, now_ms, self._names)
+
+    def _elect_after(
+        self, now_ms: float, joined: frozenset[str], gone: frozenset[str]
+    ) -> None:
+        """Elect anew only where the winner is gone or a new member ranks higher."""
+        for server in self._watched:
+            winner = self._winners.get(server)
+            if winner is None or winner.name in gone:
+                self._elect(server, now_ms, self._names)
+            elif joined:
+                self._elect(server, now_ms, joined.union((winner.name,)))
+
+    def _elect(self, server: str, now_ms: float, names: frozenset[str]) -> None:
+        if not (names and self._is_ours(server)):
+            self._winners.pop(server, None)
+            return
+        score, name = max((rendezvous_score(server, name), name) for name in names)
+        winner = self._winners.get(server)
+        if winner is None or winner.name != name:
+            self._winners[server] = _Winner(score, name, now_ms)
+
+    def _is_ours(self, server: str) -> bool:
+        """Tell whether the members of this data centre elect a server's owner."""
+        data_centre = self._watched[server]
+        if data_centre == self.data_centre:
+            return True
+        if data_centre in self._known or not self._is_listed:
+            return False
+        scored = ((rendezvous_score(server, name), name) for name in self._reachable)
+        return max(scored)[1] == self.data_centre
--- /dev/null
+++ b/cowsliploom/coordination/_piggyback.py
@@ -0,0 +1,73 @@
+"""Bounded spreading of updates on frames that flow anyway."""
+
+import math
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+SENDS_PER_LOG = 3  # sends of one update for each doubling of the fleet
+SENDS_MIN = 4  # also a small fleet loses frames
+
+Update = TypeVar('Update')
+
+
+@dataclass(slots=True)
+class _Queued(Generic[Update]):
+    update: Update
+    sends: int = 0
+
+
+class PiggybackQueue(Generic[Update]):
+    """Hand out the least sent updates, each a bounded number of times.
+
+    Parameters
+    ----------
+    batch_max : int
+        Most updates on one frame.
+
+    Examples
+    --------
+    >>> queue = PiggybackQueue[str](batch_max=1)
+    >>> queue.put('vm-1', 'alive')
+    >>> queue.put('vm-1', 'dead')
+    >>> queue.take(fleet_size=2)
+    ('dead',)
+    """
+
+    def __init__(self, batch_max: int) -> None:
+        self.batch_max = batch_max
+        self._queued: dict[str, _Queued[Update]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of updates still to be spread."""
+        return len(self._queued)
+
+    def put(self, key: str, update: Update) -> None:
+        """Spread an update; an older one of the same key is dropped."""
+        self._queued[key] = _Queued(update)
+
+    def take(self, fleet_size: int) -> tuple[Update, ...]:
+        """Return the updates for one frame.
+
+        Parameters
+        ----------
+        fleet_size : int
+            Members that an update has to reach; sets how often it is sent.
+
+        Returns
+        -------
+        tuple
+            At most ``batch_max`` updates, the least sent first.
+        """
+        if not self._queued:
+            return ()
+        least_sent = sorted(self._queued.items(), key=_sends)[: self.batch_max]
+        sends_max = SENDS_MIN + SENDS_PER_LOG * math.ceil(math.log2(fleet_size + 1))
+        for key, queued in least_sent:
+            queued.sends += 1
+            if queued.sends >= sends_max:
+                self._queued.pop(key)
+        return tuple(entry[1].update for entry in least_sent)
+
+
+def _sends(entry: tuple[str, _Queued[Update]]) -> int:
+    return entry[1].sends
--- /dev/null
+++ b/cowsliploom/coordination/_prober.py
@@ -0,0 +1,102 @@
+"""Probes of the ring successors, directly and through helpers."""
+
+from dataclasses import replace
+
+from cowsliploom.coordination._calls import CallPurpose, OpenCall
+from cowsliploom.coordination._local_member import Commands, LocalMember
+from cowsliploom.coordination._members import Member, MemberState
+from cowsliploom.coordination._messages import AnswerPeer, Frame, FrameKind
+
+HELPERS = 3  # two helpers may be frozen while the third tells the truth
+
+
+class Prober:
+    """Find members that don't answer, and suspect them.
+
+    Parameters
+    ----------
+    local : LocalMember
+        State shared with the other parts.
+    """
+
+    def __init__(self, local: LocalMember) -> None:
+        self.local = local
+        self._next_probe_ms: float = 0
+        self._turn = 0
+
+    def tick(self, now_ms: float, out: Commands) -> None:
+        """Settle doubts and suspicions, and send the next probe when it is due."""
+        local = self.local
+        for doubted in local.timers.close_doubts(now_ms):
+            local.raise_state(doubted, MemberState.SUSPECT, now_ms)
+        for suspect in local.timers.expired_suspects(now_ms):
+            local.raise_state(suspect, MemberState.DEAD, now_ms)
+        for dead in local.timers.expired_tombstones(now_ms):
+            local.view.forget(dead)
+        if now_ms >= self._next_probe_ms:
+            interval_ms = local.settings.probe_interval_ms
+            self._next_probe_ms = now_ms + local.jitter(interval_ms)
+            self._probe_next(now_ms, out)
+
+    def fail(self, now_ms: float, call: OpenCall, out: Commands) -> None:
+        """Take a failed call: ask helpers, or report as one."""
+        match call.purpose:
+            case CallPurpose.PROBE:
+                self._ask_helpers(now_ms, call.target, out)
+            case CallPurpose.HELP:
+                out.append(self._report(now_ms, call.request_id, reached=False))
+            case _:
+                return
+
+    def take_answer(
+        self, now_ms: float, call: OpenCall, frame: Frame, out: Commands
+    ) -> None:
+        """Take the answer to a call: whom it reached is not doubted."""
+        match call.purpose:
+            case CallPurpose.PROBE:
+                self.local.timers.clear_doubt(call.target.name)
+            case CallPurpose.ASK_HELPER:
+                if frame.reached:
+                    self.local.timers.clear_doubt(call.about)
+            case CallPurpose.HELP:
+                out.append(self._report(now_ms, call.request_id, reached=True))
+            case _:
+                return
+
+    def help(self, now_ms: float, request_id: int, asked: Frame, out: Commands) -> None:
+        """Probe a member on behalf of another one."""
+        known = self.local.view.find(asked.target)
+        if known is None:
+            out.append(self._report(now_ms, request_id, reached=False))
+            return
+        frame = self.local.frame(FrameKind.PROBE, known.member, now_ms)
+        out.append(
+            self.local.send(CallPurpose.HELP, frame, known.member, now_ms, request_id)
+        )
+
+    def _probe_next(self, now_ms: float, out: Commands) -> None:
+        local = self.local
+        partners = local.view.ring_successors(local.me.name, local.settings.rings)
+        if partners:
+            self._turn += 1
+            target = partners[self._turn % len(partners)]
+            frame = local.frame(FrameKind.PROBE, target, now_ms)
+            out.append(local.send(CallPurpose.PROBE, frame, target, now_ms))
+
+    def _ask_helpers(self, now_ms: float, target: Member, out: Commands) -> None:
+        local = self.local
+        passed_over = {local.me.name, target.name}
+        others = [
+            member for member in local.view.live() if member.name not in passed_over
+        ]
+        helpers = local.random.sample(others, min(HELPERS, len(others)))
+        wait_ms = local.settings.indirect_timeout_ms if helpers else 0
+        local.timers.doubt(target.name, now_ms + wait_ms)
+        for helper in helpers:
+            frame = local.frame(FrameKind.PROBE_FOR, helper, now_ms)
+            asking = replace(frame, target=target.name)
+            out.append(local.send(CallPurpose.ASK_HELPER, asking, helper, now_ms))
+
+    def _report(self, now_ms: float, request_id: int, *, reached: bool) -> AnswerPeer:
+        frame = self.local.frame(FrameKind.ANSWER, self.local.me, now_ms)
+        return AnswerPeer(request_id, replace(frame, reached=reached))
--- /dev/null
+++ b/cowsliploom/daemons/tests/test_peer_task.py
@@ -0,0 +1,109 @@
+"""Peer tasks on loopback: they find each other, and share news."""
+
+import asyncio
+
+import pytest
+
+from cowsliploom.coordination import (
+    ConfigurationHeard,
+    Fact,
+    FactHeard,
+    Member,
+    MembersChanged,
+    MembershipSettings,
+)
+from cowsliploom.daemons import PeerTask, PeerTaskSettings
+
+FAST = MembershipSettings(probe_interval_ms=100, contact_interval_ms=200)
+WAIT_S = 20
+
+
+class Recorder:
+    """Keep the events of one task."""
+
+    def __init__(self):
+        self.events = []
+
+    def __call__(self, event):
+        self.events.append(event)
+
+    def last(self, kind):
+        return next(
+            (event for event in reversed(self.events) if isinstance(event, kind)),
+            None,
+        )
+
+    def live_names(self):
+        told = self.last(MembersChanged)
+        return {member.name for member in told.live} if told else set()
+
+
+async def until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def start_fleet(places):
+    fleet = []
+    for number, data_centre in enumerate(places):
+        recorder = Recorder()
+        member = Member(f'vm-{number}', '', data_centre, incarnation=1)
+        settings = PeerTaskSettings(member, '127.0.0.1:0', FAST, seed=number + 1)
+        task = PeerTask(settings, recorder)
+        await task.start()
+        fleet.append((task, recorder))
+    seeds = tuple(
+        Member(f'vm-{index}', task.address, places[index])
+        for index, (task, _) in enumerate(fleet)
+    )
+    for task, _ in fleet:
+        task.seeds_listed(seeds)
+    return fleet
+
+
+async def close_fleet(fleet):
+    for task, _ in fleet:
+        await task.close()
+
+
+@pytest.mark.parametrize(
+    'places', [('de', 'de', 'de'), ('de', 'gogledd'), ('de', 'de', 'gogledd')]
+)
+def test_tasks_find_each_other_and_share_news(places):
+    async def play():
+        fleet = await start_fleet(places)
+        everyone = {f'vm-{number}' for number in range(len(places))}
+        await until(
+            lambda: all(recorder.live_names() == everyone for _, recorder in fleet)
+        )
+        fleet[0][0].announce_configuration(3, b'three')
+        fleet[0][0].announce_fact(Fact('veto/x', 1, b'no'))
+        await until(lambda: all(rec.last(ConfigurationHeard) for _, rec in fleet))
+        await until(lambda: all(rec.last(FactHeard) for _, rec in fleet))
+        await until(
+            lambda: all(
+                {status.applied_revision for status in task.fleet()} == {3}
+                for task, _ in fleet
+            )
+        )
+        heard = [recorder.last(ConfigurationHeard) for _, recorder in fleet]
+        await close_fleet(fleet)
+        return heard
+
+    assert set(asyncio.run(play())) == {ConfigurationHeard(3, b'three')}
+
+
+def test_killed_task_is_given_up_and_leaver_at_once():
+    async def play():
+        fleet = await start_fleet(('de', 'de', 'de', 'de'))
+        recorder = fleet[0][1]
+        await until(lambda: len(recorder.live_names()) == 4)
+        await fleet[3][0].leave()
+        await until(lambda: recorder.live_names() == {'vm-0', 'vm-1', 'vm-2'})
+        await fleet[2][0].close()
+        await until(lambda: recorder.live_names() == {'vm-0', 'vm-1'})
+        await close_fleet(fleet[:2])
+        await fleet[3][0].close()
+
+    asyncio.run(play())
