--- a/cowsliploom/protocol/__init__.py
+++ b/cowsliploom/protocol/__init__.py
@@ -14,6 +14,11 @@
 from cowsliploom.protocol._backend import SearchReply as SearchReply
 from cowsliploom.protocol._backend import ServerState as ServerState
 from cowsliploom.protocol._backend import SnapshotInfo as SnapshotInfo
+from cowsliploom.protocol._caller import AnswerCoverage as AnswerCoverage
+from cowsliploom.protocol._caller import RunAnswer as RunAnswer
+from cowsliploom.protocol._caller import RunRequest as RunRequest
+from cowsliploom.protocol._caller import SearchAnswer as SearchAnswer
+from cowsliploom.protocol._caller import SearchRequest as SearchRequest
 from cowsliploom.protocol._platform import LeaseCall as LeaseCall
 from cowsliploom.protocol._platform import LeaseResult as LeaseResult
 from cowsliploom.protocol._platform import PutResult as PutResult
@@ -22,8 +27,3 @@
 from cowsliploom.protocol._platform import VmInfo as VmInfo
 from cowsliploom.protocol._platform import VmList as VmList
 from cowsliploom.protocol._platform import VmState as VmState
-from cowsliploom.protocol._caller import AnswerCoverage as AnswerCoverage
-from cowsliploom.protocol._caller import RunAnswer as RunAnswer
-from cowsliploom.protocol._caller import RunRequest as RunRequest
-from cowsliploom.protocol._caller import SearchAnswer as SearchAnswer
-from cowsliploom.protocol._caller import SearchRequest as SearchRequest
--- a/cowsliploom/routing/__init__.py
+++ b/cowsliploom/routing/__init__.py
@@ -3,12 +3,12 @@
 from cowsliploom.routing._counters import RouterCounters as RouterCounters
 from cowsliploom.routing._messages import AnswerQuery as AnswerQuery
 from cowsliploom.routing._messages import AnswerRun as AnswerRun
+from cowsliploom.routing._messages import CallerLeft as CallerLeft
 from cowsliploom.routing._messages import CallFailed as CallFailed
 from cowsliploom.routing._messages import CallRefused as CallRefused
-from cowsliploom.routing._messages import CallerLeft as CallerLeft
 from cowsliploom.routing._messages import CancelSent as CancelSent
-from cowsliploom.routing._messages import ConfigurationApplied as ConfigurationApplied
 from cowsliploom.routing._messages import Command as Command
+from cowsliploom.routing._messages import ConfigurationApplied as ConfigurationApplied
 from cowsliploom.routing._messages import Coverage as Coverage
 from cowsliploom.routing._messages import EntriesCounted as EntriesCounted
 from cowsliploom.routing._messages import Event as Event
