--- a/cowsliploom/coordination/__init__.py
+++ b/cowsliploom/coordination/__init__.py
@@ -1,4 +1,4 @@
-"""Package coordination of cowsliploom."""
+"""Coordination parts that others embed: membership, ownership, news, leases."""
 
 from cowsliploom.coordination._claims import CLAIM_TTL_MS as CLAIM_TTL_MS
 from cowsliploom.coordination._claims import SEND_WINDOW_MS as SEND_WINDOW_MS
@@ -20,9 +20,6 @@
 from cowsliploom.coordination._claims import digest_request as digest_request
 from cowsliploom.coordination._claims import segment_key as segment_key
 from cowsliploom.coordination._claims_book import ClaimBook as ClaimBook
-
-"""Coordination parts that others embed: membership, ownership, news, leases."""
-
 from cowsliploom.coordination._dissemination import (
     ConfigurationHeard as ConfigurationHeard,
 )
