Add the entry daemon: callers' HTTP, hub between tasks, graceful shutdown

Cause: a caller's search has to come back through separate processes before any decision can be measured. Weighed: HTTP handlers on the asyncio loop (ruled out: cheroot has threads, and a slow client must not hold up decisions); each request waits on its own thread for the router task's outcome (chosen).

--- /dev/null
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -0,0 +1,191 @@
+"""One entry daemon: its tasks, from start to graceful shutdown."""
+
+import asyncio
+import json
+import os
+import secrets
+import signal
+from concurrent.futures import Future
+from contextlib import AsyncExitStack
+
+from cowsliploom.adapters import (
+    HttpServer,
+    HttpServerSettings,
+    HttpStore,
+    LogLines,
+    PartLog,
+    SystemClock,
+)
+from cowsliploom.coordination import Fact, Member, MemberStatus
+from cowsliploom.daemons._claims_task import ClaimsTask
+from cowsliploom.daemons._entry_backends import Backends
+from cowsliploom.daemons._entry_config import ConfigurationWatch
+from cowsliploom.daemons._entry_http import CallerApi, EntryViews, Readiness
+from cowsliploom.daemons._entry_hub import EntryHub, Wiring
+from cowsliploom.daemons._entry_loop import RouterOutputs, RouterTask
+from cowsliploom.daemons._entry_settings import EntrySettings, Policy
+from cowsliploom.daemons._entry_vms import VmListReader
+from cowsliploom.daemons._peer_task import PeerTask, PeerTaskSettings
+from cowsliploom.routing import NaiveRouter, RecordSample, Router, RouterSettings
+
+MS_PER_S = 1000
+SEED_BITS = 32
+PROBE_STEP_MS = 50  # with eight probes a step this is at most 160 probes a second
+DRAIN_POLL_MS = 20
+FLEET_WAIT_MS = 1000  # the loop answers within a tick unless the process is frozen
+ACCEPT_QUEUE_FACTOR = 8  # connections kept open for each thread
+
+
+def make_router(settings: EntrySettings, seed: int) -> Router | NaiveRouter:
+    """Build the router of the chosen policy."""
+    match settings.policy:
+        case Policy.NAIVE:
+            kind: type[Router] | type[NaiveRouter] = NaiveRouter
+        case Policy.ADAPTIVE:
+            kind = Router
+    return kind(settings.name, settings.data_centre, RouterSettings(), seed)
+
+
+class EntryDaemon:
+    """Own the tasks of one entry VM.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.log = PartLog('entry')
+        self._seed = settings.seed or secrets.randbits(SEED_BITS)
+        self._incarnation = int(self.clock.wall_ms() / MS_PER_S)
+        self._member = Member(
+            settings.name, '', settings.data_centre, self._incarnation
+        )
+        self._identity = f'{settings.name}#{self._incarnation}'
+        self._draining = False
+        self._hub = EntryHub(self._member, self.clock, self._take_fact)
+        self._backends = Backends(self.clock)
+        self._router = RouterTask(
+            self._identity,
+            make_router(settings, self._seed),
+            self._backends,
+            self.clock,
+            RouterOutputs(
+                self._take_sample, self._hub.take_applied, self._hub.take_health
+            ),
+        )
+        self._peers = PeerTask(
+            PeerTaskSettings(self._member, settings.peer_listen, seed=self._seed),
+            self._hub.take_peer_event,
+        )
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain; a second one ends at once."""
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._take_signal, stop)
+        async with AsyncExitStack() as stack:
+            stack.enter_context(LogLines())
+            server = await self._start(stack, loop)
+            await stop.wait()
+            await self._drain(server)
+        self.log.write('Stopped.', name=self.settings.name)
+
+    async def _start(
+        self, stack: AsyncExitStack, loop: asyncio.AbstractEventLoop
+    ) -> HttpServer:
+        stack.enter_context(self._backends)
+        self._router.start(loop)
+        watch_store = stack.enter_context(HttpStore(self.settings.store))
+        list_store = stack.enter_context(HttpStore(self.settings.store))
+        claim_store = stack.enter_context(HttpStore(self.settings.store))
+        claims = stack.enter_context(
+            ClaimsTask(claim_store, self.clock, self._identity)
+        )
+        watch = ConfigurationWatch(watch_store, self._router.post, self._seed)
+        vms = VmListReader(
+            list_store,
+            lambda listed: loop.call_soon_threadsafe(self._hub.take_vm_list, listed),
+            self._seed,
+        )
+        self._hub.connect(Wiring(self._router, self._peers, watch, vms))
+        await stack.enter_async_context(self._peers)
+        stack.enter_context(watch)
+        stack.enter_context(vms)
+        self._probe()
+        api = CallerApi(
+            self._router.post, claims, self.clock, EntryViews(self._tell, self._fleet)
+        )
+        server = self._listen(api)
+        stack.enter_context(server)
+        ready = {'ready': server.address, 'peer': self._peers.address}
+        print(json.dumps(ready), flush=True)  # noqa: WPS421
+        self.log.write('Started.', address=server.address, name=self.settings.name)
+        return server
+
+    def _listen(self, api: CallerApi) -> HttpServer:
+        return HttpServer(
+            self.settings.listen,
+            api.answer,
+            HttpServerSettings(
+                threads=self.settings.threads,
+                connections_max=self.settings.threads * ACCEPT_QUEUE_FACTOR,
+                drain_timeout_ms=self.settings.drain_timeout_ms,
+            ),
+            self.log.write,
+        )
+
+    async def _drain(self, server: HttpServer) -> None:
+        """Leave while callers are still served, then wait for the last answer."""
+        self._draining = True
+        self.log.write('Draining.', pending=self._router.pending)
+        await asyncio.sleep(self.settings.drain_notice_ms / MS_PER_S)
+        await self._peers.leave()
+        server.drain()
+        give_up_ms = self.clock.now_ms() + self.settings.drain_timeout_ms
+        while self._busy(server) and self.clock.now_ms() < give_up_ms:
+            await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
+        self.log.write('Drained.', pending=self._router.pending)
+
+    def _busy(self, server: HttpServer) -> bool:
+        return bool(self._router.pending or server.requests_open)
+
+    def _take_signal(self, stop: asyncio.Event) -> None:
+        if stop.is_set():
+            os._exit(1)  # noqa: WPS437
+        stop.set()
+
+    def _probe(self) -> None:
+        for server in self._hub.due_probes():
+            self._backends.probe(server)
+        if self._loop is not None:
+            self._loop.call_later(PROBE_STEP_MS / MS_PER_S, self._probe)
+
+    def _tell(self) -> Readiness:
+        if self._draining:
+            return Readiness(ready=False, reason='draining')
+        if not self._router.configuration.revision:
+            return Readiness(ready=False, reason='no configuration yet')
+        return Readiness(ready=True)
+
+    def _fleet(self) -> tuple[MemberStatus, ...]:
+        told: Future[tuple[MemberStatus, ...]] = Future()
+        if self._loop is None:
+            return ()
+        self._loop.call_soon_threadsafe(self._tell_fleet, told)
+        return told.result(FLEET_WAIT_MS / MS_PER_S)
+
+    def _tell_fleet(self, told: 'Future[tuple[MemberStatus, ...]]') -> None:
+        told.set_result(self._peers.fleet())
+
+    def _take_sample(self, sample: RecordSample) -> None:
+        """Take evidence on a version."""
+
+    def _take_fact(self, fact: Fact) -> None:
+        """Take a fact on a version move."""
--- /dev/null
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -0,0 +1,230 @@
+"""What the entry daemon's tasks tell one another, on the loop's thread."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from cowsliploom.adapters import PartLog
+from cowsliploom.coordination import (
+    ConfigurationHeard,
+    Fact,
+    FactHeard,
+    Member,
+    MembersChanged,
+    OwnershipChanged as NodeOwnershipChanged,
+    Superseded,
+    WatchedServer,
+    chosen_watchers,
+)
+from cowsliploom.daemons._entry_config import ConfigurationWatch
+from cowsliploom.daemons._entry_loop import RouterTask
+from cowsliploom.daemons._entry_messages import ConfigurationOffered
+from cowsliploom.daemons._entry_probe import ProbeSchedule
+from cowsliploom.daemons._entry_vms import VmListReader
+from cowsliploom.daemons._peer_task import PeerEvent, PeerTask
+from cowsliploom.ports import Clock
+from cowsliploom.protocol import HealthReport, VmInfo, VmList, VmState
+from cowsliploom.resources import (
+    Configuration,
+    ServiceSpec,
+    decode_configuration,
+    encode_configuration,
+)
+from cowsliploom.routing import (
+    EntriesCounted,
+    HealthReported,
+    OwnershipChanged,
+    ServersLeaving,
+)
+
+LEAVING_KEY = 'vms/leaving'
+HEALTH_PREFIX = 'health/'
+ENTRY_ROLE = 'entry'
+BACKEND_ROLE = 'backend'
+
+
+@dataclass(frozen=True, slots=True)
+class Wiring:
+    """Name the tasks that the hub connects."""
+
+    router: RouterTask
+    peers: PeerTask
+    watch: ConfigurationWatch
+    vms: VmListReader
+
+
+def watched_servers(configuration: Configuration) -> tuple[WatchedServer, ...]:
+    """Return the backend servers that need an owner."""
+    return tuple(
+        WatchedServer(server.name, server.data_centre)
+        for resource in configuration.resources
+        if isinstance(resource.spec, ServiceSpec)
+        for server in resource.spec.servers
+    )
+
+
+def entry_members(listed: VmList) -> tuple[Member, ...]:
+    """Return the live entry VMs of the platform's list."""
+    return tuple(
+        Member(vm.name, vm.address, vm.data_centre)
+        for vm in listed.vms
+        if vm.role == ENTRY_ROLE and vm.state is VmState.LIVE
+    )
+
+
+def leaving_backends(vms: tuple[VmInfo, ...]) -> frozenset[str]:
+    """Return the backend servers that the platform's list calls leaving."""
+    return frozenset(
+        vm.name for vm in vms if vm.role == BACKEND_ROLE and vm.state is VmState.LEAVING
+    )
+
+
+class EntryHub:
+    """Pass news between the router, the peers and the store's readers.
+
+    Parameters
+    ----------
+    member : Member
+        This entry VM.
+    clock : Clock
+        Clock of the router's events.
+    on_fact : callable
+        Takes the facts that version moves are made of.
+
+    Notes
+    -----
+    Every method but ``take_vm_list`` runs on the loop's thread.
+    """
+
+    def __init__(
+        self, member: Member, clock: Clock, on_fact: Callable[[Fact], None]
+    ) -> None:
+        self._member = member
+        self._clock = clock
+        self._on_fact = on_fact
+        self._log = PartLog('hub')
+        self._schedule = ProbeSchedule()
+        self._owned: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+        self._reports: dict[str, HealthReport] = {}
+        self._generations: dict[str, int] = {}
+        self._wiring: Wiring | None = None
+
+    def connect(self, wiring: Wiring) -> None:
+        """Take the tasks to pass news between."""
+        self._wiring = wiring
+
+    def due_probes(self) -> tuple[str, ...]:
+        """Return the backend servers to probe now."""
+        return self._schedule.due(self._clock.now_ms())
+
+    def take_peer_event(self, event: PeerEvent) -> None:
+        """Take what the peers tell."""
+        match event:
+            case MembersChanged():
+                self._take_members(event)
+            case NodeOwnershipChanged():
+                self._take_ownership(event.owned)
+            case ConfigurationHeard():
+                self._take_configuration(event.blob)
+            case FactHeard():
+                self._take_fact(event.fact)
+            case Superseded():
+                self._log.write('Another process has this name.', peer=event.by.address)
+
+    def take_applied(self, configuration: Configuration) -> None:
+        """Spread a configuration that came into force here."""
+        servers = watched_servers(configuration)
+        self._schedule.declare(
+            self._clock.now_ms(), tuple(server.server for server in servers)
+        )
+        if self._wiring is not None:
+            self._wiring.peers.watch_servers(servers)
+            self._wiring.peers.announce_configuration(
+                configuration.revision, encode_configuration(configuration)
+            )
+        self._log.write(
+            'Configuration in force.',
+            revision=configuration.revision,
+            resources=len(configuration.resources),
+        )
+
+    def take_health(self, reported: HealthReported) -> None:
+        """Tell the peers when a server that this entry VM owns has changed."""
+        known = self._reports.get(reported.server)
+        if known == reported.report:
+            return
+        self._reports[reported.server] = reported.report
+        if reported.server in self._owned:
+            self._announce(
+                HEALTH_PREFIX + reported.server, msgspec.json.encode(reported.report)
+            )
+
+    def take_vm_list(self, listed: VmList) -> None:
+        """Take the platform's list of VMs."""
+        if self._wiring is None:
+            return
+        self._wiring.peers.seeds_listed(entry_members(listed))
+        leaving = leaving_backends(listed.vms)
+        if leaving != self._leaving:
+            self._take_leaving(leaving)
+            self._announce(LEAVING_KEY, msgspec.json.encode(sorted(leaving)))
+
+    def _take_members(self, event: MembersChanged) -> None:
+        if self._wiring is None:
+            return
+        live = event.live
+        entries = max(1, len(live))
+        self._wiring.router.take(EntriesCounted(self._clock.now_ms(), entries))
+        watchers = chosen_watchers(live, self._member.data_centre)
+        chosen = self._member.name in watchers
+        self._wiring.watch.choose(watching=chosen)
+        self._wiring.vms.choose(chosen=chosen)
+        self._log.write('Members changed.', live=len(live), watcher=chosen)
+
+    def _take_ownership(self, owned: frozenset[str]) -> None:
+        now_ms = self._clock.now_ms()
+        self._owned = owned
+        self._schedule.own(now_ms, owned)
+        if self._wiring is not None:
+            self._wiring.router.take(OwnershipChanged(now_ms, owned))
+
+    def _take_configuration(self, blob: bytes) -> None:
+        try:
+            configuration = decode_configuration(blob)
+        except ValueError as error:
+            self._log.write('Peer sent a bad configuration.', reason=str(error))
+            return
+        if self._wiring is not None:
+            self._wiring.router.take(ConfigurationOffered(configuration, 'peer'))
+
+    def _take_fact(self, fact: Fact) -> None:
+        self._generations[fact.key] = fact.generation
+        match fact.key:
+            case key if key.startswith(HEALTH_PREFIX):
+                self._take_told_health(key.removeprefix(HEALTH_PREFIX), fact.blob)
+            case key if key == LEAVING_KEY:
+                names = msgspec.json.decode(fact.blob, type=list[str])
+                self._take_leaving(frozenset(names))
+            case _:
+                self._on_fact(fact)
+
+    def _take_told_health(self, server: str, blob: bytes) -> None:
+        report = msgspec.json.decode(blob, type=HealthReport)
+        self._reports[server] = report
+        if self._wiring is not None and server not in self._owned:
+            now_ms = self._clock.now_ms()
+            self._wiring.router.take(HealthReported(now_ms, server, report))
+
+    def _take_leaving(self, leaving: frozenset[str]) -> None:
+        self._leaving = leaving
+        if self._wiring is not None:
+            self._wiring.router.take(ServersLeaving(self._clock.now_ms(), leaving))
+
+    def _announce(self, key: str, blob: bytes) -> None:
+        if self._wiring is None:
+            return
+        generation = max(self._generations.get(key, 0) + 1, int(self._clock.wall_ms()))
+        self._generations[key] = generation
+        self._wiring.peers.announce_fact(Fact(key, generation, blob))
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -30,6 +30,7 @@
     ConfigurationApplied,
     Event,
     FailureStep,
+    HealthReported,
     QueryArrived,
     RecordSample,
     RefuseCaller,
@@ -62,6 +63,25 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class RouterOutputs:
+    """Name who hears of samples, configurations in force and health.
+
+    Parameters
+    ----------
+    on_sample : callable
+        Takes the evidence on versions.
+    on_applied : callable
+        Takes each configuration that came into force.
+    on_health : callable
+        Takes each health report of a backend server.
+    """
+
+    on_sample: Callable[[RecordSample], None]
+    on_applied: Callable[[Configuration], None]
+    on_health: Callable[[HealthReported], None]
+
+
 @dataclass(frozen=True, slots=True)
 class _Pending:
     request: Request
@@ -81,10 +101,8 @@
         Connections to the backend servers.
     clock : Clock
         Clock of all events.
-    on_sample : callable
-        Takes the evidence on versions.
-    on_applied : callable
-        Takes each configuration that came into force.
+    outputs : RouterOutputs
+        Who hears of what the router sees.
     """
 
     def __init__(
@@ -93,16 +111,14 @@
         router: RouterPart,
         backends: Backends,
         clock: Clock,
-        on_sample: Callable[[RecordSample], None],
-        on_applied: Callable[[Configuration], None],
+        outputs: RouterOutputs,
     ) -> None:
         self.metrics = Metrics()
         self._name = name
         self._router = router
         self._backends = backends
         self._clock = clock
-        self._on_sample = on_sample
-        self._on_applied = on_applied
+        self._outputs = outputs
         self._configuration = Configuration()
         self._pending: dict[str, _Pending] = {}
         self._sequence = itertools.count()
@@ -145,6 +161,9 @@
             case SearchReplied() | RunReplied() | CallRefused() | CallFailed():
                 self._backends.ended(message.server)
                 self._step(message)
+            case HealthReported():
+                self._outputs.on_health(message)
+                self._step(message)
             case _:
                 self._step(message)
 
@@ -194,7 +213,7 @@
         self._configuration = configuration
         self._backends.apply(server_specs(configuration))
         self._step(ConfigurationApplied(self._clock.now_ms(), configuration))
-        self._on_applied(configuration)
+        self._outputs.on_applied(configuration)
 
     def _tick(self) -> None:
         self._step(Tick(self._clock.now_ms()))
@@ -220,7 +239,7 @@
             case AnswerRun():
                 self._finish(command.run_id, command)
             case RecordSample():
-                self._on_sample(command)
+                self._outputs.on_sample(command)
 
     def _send(self, command: SendSearch | SendRun) -> None:
         self.metrics.count('calls_sent')
--- a/cowsliploom/daemons/_entry_vms.py
+++ b/cowsliploom/daemons/_entry_vms.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(
-        self, store: Store, on_list: Callable[[VmList], None], seed: int
+        self, store: Store, on_list: Callable[[VmList], object], seed: int
     ) -> None:
         self._store = store
         self._on_list = on_list
