Add the load generator and its check against run logs

Open loop: seeded exponential arrivals, and latency counts from when a request was due, also while it waits for a worker. Weighed: a closed loop of callers, ruled out as a slow system would slow its own load down. The delay of the generator itself is reported apart, so that its own limit shows.

The recount takes coverage and bookings from the backend servers' run logs, not from the entry VMs. A log can't tell whether a service that the answer calls missing was served too late, so there the reported coverage is held between two bounds, and counted apart from equal ones.

Two systems are compared by turns in short slices with the same arrivals.

--- a/cowsliploom/loadgen/__init__.py
+++ b/cowsliploom/loadgen/__init__.py
@@ -1,1 +1,1 @@
-"""Package loadgen of cowsliploom."""
+"""Open-loop load, and checks of answers against run logs."""
--- /dev/null
+++ b/cowsliploom/loadgen/_arrivals.py
@@ -0,0 +1,132 @@
+"""Seeded arrivals of an open loop."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+MS_PER_S = 1000
+TEXTS = 1000  # distinct error texts that callers look for
+
+
+class WorkKind(StrEnum):
+    """Tell a search from a booking."""
+
+    SEARCH = 'search'
+    BOOKING = 'booking'
+
+
+@dataclass(frozen=True, slots=True)
+class MixPart:
+    """Give one search kind, or one service's bookings, its part of the arrivals.
+
+    Parameters
+    ----------
+    kind : WorkKind
+        What arrives.
+    name : str
+        Name of the search or of the service.
+    weight : float
+        Part of the arrivals, relative to the other weights.
+    """
+
+    kind: WorkKind
+    name: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class ArrivalPlan:
+    """Describe the arrivals of a run.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Mean arrivals a second.
+    duration_ms : float
+        Time over which they arrive, in milliseconds.
+    mix : tuple of MixPart
+        What arrives.
+    entries : int
+        Entry VMs among which the balancer chooses.
+    seed : int
+        Seed of times, work and entry VMs.
+    id_prefix : str
+        Beginning of the request ids, unique to the run.
+    """
+
+    rate_per_s: float
+    duration_ms: float
+    mix: tuple[MixPart, ...]
+    entries: int
+    seed: int
+    id_prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold one request that is due ``at_ms`` after the start."""
+
+    at_ms: float
+    kind: WorkKind
+    name: str
+    entry: int
+    request_id: str
+    text: str
+
+
+def parse_mix(kind: WorkKind, text: str) -> tuple[MixPart, ...]:
+    """Read ``name=weight,name=weight``.
+
+    Raises
+    ------
+    ValueError
+        If a part has another form or a weight is not above 0.
+
+    Examples
+    --------
+    >>> [part.name for part in parse_mix(WorkKind.SEARCH, 'cellar=5,rota=1')]
+    ['cellar', 'rota']
+    """
+    parts = (part.strip() for part in text.split(','))
+    return tuple(_parse_part(kind, part) for part in parts if part)
+
+
+def _parse_part(kind: WorkKind, text: str) -> MixPart:
+    name, _, weight_text = text.partition('=')
+    try:
+        weight = float(weight_text or '1')
+    except ValueError:
+        weight = 0
+    if not name or weight <= 0:
+        raise ValueError(f'mix: got {text!r}, expected name=weight with weight above 0')
+    return MixPart(kind, name, weight)
+
+
+def plan_arrivals(plan: ArrivalPlan) -> Iterator[Arrival]:
+    """Draw exponential gaps, work and entry VMs from the seed.
+
+    Notes
+    -----
+    Two plans that differ in ``id_prefix`` or ``entries`` alone have the same
+    times, work and texts, so that two systems can be given the same load.
+    """
+    randomness = Random(plan.seed)
+    balancer = Random(plan.seed)
+    weights = [part.weight for part in plan.mix]
+    at_ms: float = 0
+    number = 0
+    while True:
+        at_ms += randomness.expovariate(plan.rate_per_s) * MS_PER_S
+        if at_ms >= plan.duration_ms:
+            return
+        part = randomness.choices(plan.mix, weights)[0]
+        number += 1
+        yield Arrival(
+            at_ms=at_ms,
+            kind=part.kind,
+            name=part.name,
+            entry=balancer.randrange(plan.entries),
+            request_id=f'{plan.id_prefix}-{number}',
+            text=f'error {randomness.randrange(TEXTS)}',
+        )
--- /dev/null
+++ b/cowsliploom/loadgen/_open_loop.py
@@ -0,0 +1,124 @@
+"""Send arrivals when they are due, whatever became of those before."""
+
+import queue
+import threading
+from collections.abc import Iterable
+from typing import Protocol
+
+from cowsliploom.loadgen._arrivals import Arrival
+from cowsliploom.loadgen._outcomes import (
+    CallRecord,
+    OnRecord,
+    Outcome,
+    ignore_record,
+)
+from cowsliploom.ports import Clock
+
+MS_PER_S = 1000
+WORKERS = 64
+
+
+class Caller(Protocol):
+    """Send requests."""
+
+    def call(self, arrival: Arrival, attempt: int = 0) -> Outcome:
+        """Send one request and wait for its outcome."""
+        ...
+
+    def may_retry(self, arrival: Arrival, outcome: Outcome, attempt: int) -> bool:
+        """Tell whether the request is to be sent again."""
+        ...
+
+
+class OpenLoop:
+    """Run arrivals through workers, and hand each record on.
+
+    A request that waits for a worker is counted from when it was due, so a slow
+    system cannot slow down its own load.
+
+    Parameters
+    ----------
+    caller : Caller
+        Sends the requests; used by all workers.
+    clock : Clock
+        Its ``now_ms`` times the run.
+    workers : int
+        Requests in flight at once.
+    on_record : callable
+        Called in the caller's thread for each finished request.
+    """
+
+    def __init__(
+        self,
+        caller: Caller,
+        clock: Clock,
+        workers: int = WORKERS,
+        on_record: OnRecord = ignore_record,
+    ) -> None:
+        self.caller = caller
+        self.clock = clock
+        self.workers = workers
+        self.on_record = on_record
+
+    def run(self, arrivals: Iterable[Arrival]) -> list[CallRecord]:
+        """Send all arrivals when due; return when the last has ended."""
+        due: queue.SimpleQueue[Arrival | None] = queue.SimpleQueue()
+        done: queue.SimpleQueue[CallRecord] = queue.SimpleQueue()
+        start_ms = self.clock.now_ms()
+        threads = [
+            threading.Thread(target=self._work, args=(due, done, start_ms), daemon=True)
+            for _ in range(self.workers)
+        ]
+        for thread in threads:
+            thread.start()
+        sent = 0
+        records: list[CallRecord] = []
+        for arrival in arrivals:
+            self._collect_until(start_ms + arrival.at_ms, done, records)
+            due.put(arrival)
+            sent += 1
+        for _ in threads:
+            due.put(None)
+        while len(records) < sent:
+            self._take(done.get(), records)
+        return records
+
+    def _collect_until(
+        self,
+        until_ms: float,
+        done: 'queue.SimpleQueue[CallRecord]',
+        records: list[CallRecord],
+    ) -> None:
+        """Take finished records while waiting."""
+        left_ms = until_ms - self.clock.now_ms()
+        while left_ms > 0:
+            try:
+                self._take(done.get(timeout=left_ms / MS_PER_S), records)
+            except queue.Empty:
+                return
+            left_ms = until_ms - self.clock.now_ms()
+
+    def _take(self, record: CallRecord, records: list[CallRecord]) -> None:
+        records.append(record)
+        self.on_record(record)
+
+    def _work(
+        self,
+        due: 'queue.SimpleQueue[Arrival | None]',
+        done: 'queue.SimpleQueue[CallRecord]',
+        start_ms: float,
+    ) -> None:
+        arrival = due.get()
+        while arrival is not None:
+            done.put(self._call(arrival, start_ms))
+            arrival = due.get()
+
+    def _call(self, arrival: Arrival, start_ms: float) -> CallRecord:
+        sent_ms = self.clock.now_ms() - start_ms
+        attempt = 0
+        outcome = self.caller.call(arrival, attempt)
+        while self.caller.may_retry(arrival, outcome, attempt):
+            attempt += 1
+            outcome = self.caller.call(arrival, attempt)
+        ended_ms = self.clock.now_ms() - start_ms
+        return CallRecord(arrival, sent_ms, ended_ms, attempt + 1, outcome)
--- /dev/null
+++ b/cowsliploom/loadgen/_results.py
@@ -0,0 +1,222 @@
+"""Figures of a run."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from cowsliploom.loadgen._arrivals import WorkKind
+from cowsliploom.loadgen._outcomes import (
+    Answered,
+    Booked,
+    CallRecord,
+    Failed,
+    Refused,
+)
+from cowsliploom.loadgen._recount import RecountResult
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000  # ten minutes; a run is shorter
+SIGNIFICANT_DIGITS = 3
+US_PER_MS = 1000
+CURVE_PERCENTILES = (10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 98.0, 99.0, 99.5, 99.9, 100.0)
+
+
+@dataclass(frozen=True, slots=True)
+class PercentilePoint:
+    """Hold one point of a latency curve."""
+
+    percentile: float
+    latency_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class LatencyResult:
+    """Hold latencies from when requests were due, in milliseconds."""
+
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    p99_9_ms: float
+    max_ms: float
+    curve: tuple[PercentilePoint, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CoverageResult:
+    """Tell how much of the snapshot answers covered, as shares from 0 to 1."""
+
+    full: int
+    partial: int
+    mean_share: float
+    p1_share: float
+    min_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalCount:
+    """Count refusals of one cause; failures have status 0."""
+
+    status: int
+    cause: str
+    ran: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkResult:
+    """Hold the figures of one search kind, or of one service's bookings."""
+
+    kind: WorkKind
+    name: str
+    sent: int
+    answered: int
+    replayed: int
+    retried: int
+    latency: LatencyResult
+    coverage: CoverageResult
+    refusals: tuple[RefusalCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CounterDelta:
+    """Hold how much one counter of the entry VMs rose in the run."""
+
+    name: str
+    delta: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadResult:
+    """Hold the figures of a run.
+
+    Parameters
+    ----------
+    label : str
+        Name of what was measured.
+    seed : int
+        Seed of the arrivals.
+    rate_per_s, duration_ms : float
+        Arrivals asked for.
+    elapsed_ms : float
+        Time until the last answer.
+    start_lag_p99_ms : float
+        Delay of sending by the load generator itself; large: it was the limit.
+    works : tuple of WorkResult
+        Figures of each search kind and booking.
+    counters : tuple of CounterDelta
+        Entry VMs' counters over the run, if they could be read.
+    recount : RecountResult or None
+        Check against run logs; None when no backend servers were named.
+    """
+
+    label: str
+    seed: int
+    rate_per_s: float
+    duration_ms: float
+    elapsed_ms: float
+    start_lag_p99_ms: float
+    works: tuple[WorkResult, ...]
+    counters: tuple[CounterDelta, ...] = ()
+    recount: RecountResult | None = None
+
+    @property
+    def answered(self) -> int:
+        """Return the requests answered, of all kinds."""
+        return sum(work.answered for work in self.works)
+
+
+def summarise_works(records: Sequence[CallRecord]) -> tuple[WorkResult, ...]:
+    """Work out the figures of each search kind and booking."""
+    kinds = sorted({(each.arrival.kind, each.arrival.name) for each in records})
+    return tuple(_summarise_work(kind, name, records) for kind, name in kinds)
+
+
+def start_lag_p99_ms(records: Sequence[CallRecord]) -> float:
+    """Return how late requests were sent, at the 99th percentile."""
+    histogram = _histogram(each.sent_ms - each.arrival.at_ms for each in records)
+    return _at(histogram, 99.0)
+
+
+def _summarise_work(
+    kind: WorkKind, name: str, records: Sequence[CallRecord]
+) -> WorkResult:
+    mine = [
+        each
+        for each in records
+        if each.arrival.kind is kind and each.arrival.name == name
+    ]
+    ended_well = [each for each in mine if isinstance(each.outcome, Answered | Booked)]
+    return WorkResult(
+        kind=kind,
+        name=name,
+        sent=len(mine),
+        answered=len(ended_well),
+        replayed=sum(
+            isinstance(each.outcome, Booked) and each.outcome.replayed for each in mine
+        ),
+        retried=sum(each.attempts > 1 for each in mine),
+        latency=_latency(each.latency_ms for each in ended_well),
+        coverage=_coverage(mine),
+        refusals=_refusals(mine),
+    )
+
+
+def _latency(latencies_ms: Iterable[float]) -> LatencyResult:
+    histogram = _histogram(latencies_ms)
+    curve = tuple(
+        PercentilePoint(percentile, _at(histogram, percentile))
+        for percentile in CURVE_PERCENTILES
+    )
+    return LatencyResult(
+        p50_ms=_at(histogram, 50.0),
+        p90_ms=_at(histogram, 90.0),
+        p99_ms=_at(histogram, 99.0),
+        p99_9_ms=_at(histogram, 99.9),
+        max_ms=_at(histogram, 100.0),
+        curve=curve,
+    )
+
+
+def _histogram(times_ms: Iterable[float]) -> HdrHistogram:
+    histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    for time_ms in times_ms:
+        time_us = int(time_ms * US_PER_MS)
+        histogram.record_value(min(max(time_us, LOWEST_US), HIGHEST_US))
+    return histogram
+
+
+def _at(histogram: HdrHistogram, percentile: float) -> float:
+    if not histogram.total_count:
+        return 0
+    return float(histogram.get_value_at_percentile(percentile)) / US_PER_MS
+
+
+def _coverage(records: Sequence[CallRecord]) -> CoverageResult:
+    shares = sorted(
+        each.outcome.coverage.covered_docs / max(each.outcome.coverage.total_docs, 1)
+        for each in records
+        if isinstance(each.outcome, Answered)
+    )
+    if not shares:
+        return CoverageResult(0, 0, 0, 0, 0)
+    full = sum(share >= 1 for share in shares)
+    return CoverageResult(
+        full=full,
+        partial=len(shares) - full,
+        mean_share=sum(shares) / len(shares),
+        p1_share=shares[len(shares) // 100],
+        min_share=shares[0],
+    )
+
+
+def _refusals(records: Sequence[CallRecord]) -> tuple[RefusalCount, ...]:
+    counts: Counter[tuple[int, str, str]] = Counter()
+    for record in records:
+        match record.outcome:
+            case Refused(status, cause, ran):
+                counts[(status, cause, ran)] += 1
+            case Failed(reason):
+                counts[(0, reason, 'unknown')] += 1
+    return tuple(RefusalCount(*key, count) for key, count in counts.most_common())
--- /dev/null
+++ b/cowsliploom/loadgen/tests/test_results.py
@@ -0,0 +1,93 @@
+import pytest
+
+from cowsliploom.loadgen._arrivals import WorkKind
+from cowsliploom.loadgen._compare import Comparison, plan_slices, ratios_of
+from cowsliploom.loadgen._outcomes import Booked, Failed, Refused
+from cowsliploom.loadgen._plot import axis_place, curves_of, render_plot
+from cowsliploom.loadgen._recount import recount
+from cowsliploom.loadgen._results import LoadResult, RefusalCount, summarise_works
+from cowsliploom.loadgen._table import render_ratios, render_table
+from cowsliploom.loadgen.tests.samples import answered, entry, log, record
+from cowsliploom.loadgen.tests.test_arrivals import PLAN
+from cowsliploom.protocol import Ran
+
+
+def make_load(label='run', slowness=1.0):
+    records = [
+        *(record(answered(20), latency_ms=each * slowness) for each in range(1, 101)),
+        record(answered(10, missing=('b',)), latency_ms=200 * slowness),
+        record(Refused(503, 'overloaded', Ran.NO)),
+        record(Failed('reset')),
+        record(Booked(replayed=True), kind=WorkKind.BOOKING),
+    ]
+    logs = (log('a', entry()), log('b', entry('q.2', 10, 20)))
+    return LoadResult(
+        label=label,
+        seed=1,
+        rate_per_s=10,
+        duration_ms=1000,
+        elapsed_ms=1100,
+        start_lag_p99_ms=0.5,
+        works=summarise_works(records),
+        recount=recount(records, logs),
+    )
+
+
+def test_latency_is_that_of_answers_alone():
+    _, search = make_load().works
+    latency = search.latency
+    assert latency.p50_ms == pytest.approx(51, abs=1)
+    assert latency.p99_ms == pytest.approx(100, abs=1)
+    assert latency.max_ms == pytest.approx(200, abs=1)
+
+
+def test_coverage_and_refusals_are_counted():
+    booking, search = make_load().works
+    assert (search.sent, search.answered) == (103, 101)
+    assert (search.coverage.full, search.coverage.partial) == (100, 1)
+    assert search.coverage.min_share == pytest.approx(0.5)
+    assert search.refusals == (
+        RefusalCount(503, 'overloaded', 'no', 1),
+        RefusalCount(0, 'reset', 'unknown', 1),
+    )
+    assert (booking.answered, booking.replayed) == (1, 1)
+
+
+def test_table(snapshot):
+    assert render_table(make_load()) == snapshot
+
+
+def test_table_of_ratios(snapshot):
+    first, second = make_load('adaptive'), make_load('naive', slowness=2)
+    ratios = ratios_of(first.works, second.works)
+    assert render_ratios(Comparison(first, second, ratios)) == snapshot
+
+
+def test_ratio_is_of_the_first_over_the_second():
+    first, second = make_load('adaptive'), make_load('naive', slowness=2)
+    search = ratios_of(first.works, second.works)[1]
+    assert search.p50 == pytest.approx(0.5, abs=0.02)
+    assert search.answered == pytest.approx(1)
+
+
+def test_plot_holds_a_line_for_each_work():
+    curves = curves_of([make_load()])
+    svg = render_plot('Latency', curves).decode()
+    assert svg.startswith('<?xml')
+    assert all(curve.label in svg for curve in curves)
+
+
+@pytest.mark.parametrize(('percentile', 'place'), [(90, 1), (99, 2), (99.9, 3)])
+def test_each_nine_is_one_step_on_the_axis(percentile, place):
+    assert axis_place(percentile) == pytest.approx(place)
+
+
+def test_maximum_has_a_place_on_the_axis():
+    assert 3 < axis_place(100) < 4
+
+
+def test_slices_have_seeds_and_ids_of_their_own():
+    slices = plan_slices(PLAN, 4)
+    assert {each.duration_ms for each in slices} == {2500}
+    assert len({each.seed for each in slices}) == 4
+    assert len({each.id_prefix for each in slices}) == 4
--- a/cowsliploom/standins/_http.py
+++ b/cowsliploom/standins/_http.py
@@ -14,6 +14,7 @@
 from cheroot import wsgi
 
 HOST_PORT = ':'
+HEADER_PREFIX = 'HTTP_'
 BODY_MAX = 4 * 1024 * 1024  # bytes; above the store's value limit with JSON escapes
 IDLE_TIMEOUT_S = 600  # callers decide on the age of connections, not the stand-in
 BACKLOG = 128  # connections that may wait for accept in a burst
@@ -27,13 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """Hold one HTTP request as the handlers see it."""
+    """Hold one HTTP request as the handlers see it; header names in lower case."""
 
     method: str
     path: str
     query: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
     peer_port: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,9 +135,18 @@
         query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
         body=environ['wsgi.input'].read(min(length, BODY_MAX + 1)) if length else b'',
         peer_port=int(environ.get('REMOTE_PORT') or 0),
+        headers=_read_headers(environ),
     )
 
 
+def _read_headers(environ: Environ) -> dict[str, str]:
+    return {
+        name.removeprefix(HEADER_PREFIX).replace('_', '-').lower(): text
+        for name, text in environ.items()
+        if name.startswith(HEADER_PREFIX)
+    }
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; raise ``ValueError`` naming what was expected."""
     host, _, port = address.rpartition(HOST_PORT)
