Add the operator daemon: resources, watches and status over HTTP

Cause: operators drive the system only by declaring resources and following watches. Weighed: per-daemon status keys in the store (ruled out: a write for each of 2,600 daemons a change); status comes from the entry VMs' gossip instead.

--- a/cowsliploom/adapters/_problem.py
+++ b/cowsliploom/adapters/_problem.py
@@ -9,6 +9,7 @@
 
 PROBLEM_TYPE = 'application/problem+json'
 MS_PER_S = 1000
+NO_RETRY_MS = float(0)  # left out only when it has the default's own type
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +74,7 @@
     step: str = ''
     peer: str = ''
     ran: str = ''
-    retry_after_ms: float = 0
+    retry_after_ms: float = NO_RETRY_MS
     revision: int | None = None
     change_id: str = ''
     request_id: str = ''
--- /dev/null
+++ b/cowsliploom/daemons/_operator_fleet.py
@@ -0,0 +1,140 @@
+"""Reading of status: the fleet's from entry VMs, moves' from the store."""
+
+from collections.abc import Iterable
+from concurrent.futures import Future
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from cowsliploom.daemons._operator_status import (
+    FleetStatus,
+    FleetUnknown,
+    MoveStatus,
+    MoveUnknown,
+    StatusSnapshot,
+)
+from cowsliploom.ports import Absent, Clock, Store
+from cowsliploom.protocol import StoredValue
+
+MOVE_PREFIX = 'moves/'
+FLEET_PATH = '/v1/fleet/status'
+FLEET_TIMEOUT_MS = 1000.0  # an entry VM answers from memory
+FLEET_REUSE_MS = 300.0  # many readers at once cost the entry VM one call
+FLEET_BYTES_MAX = 2_000_000  # 2,600 daemons of 100 bytes, with room to spare
+MS_PER_S = 1000
+STATUS_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class StatusAsked:
+    """Ask for status with that of some version moves."""
+
+    moves: tuple[str, ...]
+    answer: 'Future[StatusSnapshot]'
+
+
+class FleetReader:
+    """Ask entry VMs, one after the other, what the fleet has in force.
+
+    Parameters
+    ----------
+    entries : tuple of str
+        Addresses; the one that answered last is asked first.
+    """
+
+    def __init__(self, entries: tuple[str, ...]) -> None:
+        self._entries = list(entries)
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def read(self) -> FleetStatus | FleetUnknown:
+        """Return the fleet's status, or what the last entry VM asked said."""
+        failure = FleetUnknown('no entry VM is configured (--entry)')
+        for place, address in enumerate(self._entries):
+            found = self._ask(address)
+            if isinstance(found, FleetStatus):
+                self._entries.insert(0, self._entries.pop(place))
+                return found
+            failure = found
+        return failure
+
+    def _ask(self, address: str) -> FleetStatus | FleetUnknown:
+        try:
+            response = self._pool.request(
+                'GET',
+                f'http://{address}{FLEET_PATH}',
+                timeout=FLEET_TIMEOUT_MS / MS_PER_S,
+                preload_content=False,
+            )
+            with response:
+                body = response.read(FLEET_BYTES_MAX)
+        except HTTPError as error:
+            return FleetUnknown(f'entry VM {address}: {type(error).__name__}')
+        if response.status != STATUS_OK:
+            return FleetUnknown(f'entry VM {address}: status {response.status}')
+        try:
+            return msgspec.json.decode(body, type=FleetStatus)
+        except msgspec.MsgspecError as error:
+            return FleetUnknown(f'entry VM {address}: {error}')
+
+
+class StatusReader:
+    """Answer questions on status, one after the other; a task's act.
+
+    Parameters
+    ----------
+    fleet : FleetReader
+        Reads what is in force.
+    store : Store
+        Holds the status of version moves.
+    clock : Clock
+        Clock for the reuse of answers.
+    timeout_ms : float
+        Time limit of one call on the store, in milliseconds.
+    """
+
+    def __init__(
+        self, fleet: FleetReader, store: Store, clock: Clock, timeout_ms: float
+    ) -> None:
+        self.fleet = fleet
+        self.store = store
+        self.clock = clock
+        self.timeout_ms = timeout_ms
+        self._fleet_status: FleetStatus | FleetUnknown = FleetUnknown('not asked yet')
+        self._fleet_read_ms: float | None = None
+
+    def __call__(self, asked: StatusAsked) -> None:
+        """Answer one question."""
+        asked.answer.set_result(self.read(asked.moves))
+
+    def read(self, moves: Iterable[str]) -> StatusSnapshot:
+        """Read status with that of some version moves."""
+        statuses = {name: self._read_move(name) for name in moves}
+        found = {name: move for name, move in statuses.items() if move is not None}
+        return StatusSnapshot(self._read_fleet(), found)
+
+    def _read_fleet(self) -> FleetStatus | FleetUnknown:
+        now_ms = self.clock.now_ms()
+        read_ms = self._fleet_read_ms
+        if read_ms is None or now_ms - read_ms > FLEET_REUSE_MS:
+            self._fleet_status = self.fleet.read()
+            self._fleet_read_ms = self.clock.now_ms()
+        return self._fleet_status
+
+    def _read_move(self, name: str) -> MoveStatus | None:
+        answer = self.store.read(f'{MOVE_PREFIX}{name}', self.timeout_ms)
+        match answer:
+            case Absent():
+                return None
+            case StoredValue(value=text):
+                return _decode_move(text)
+        return MoveUnknown(f'{answer.step}: {answer.reason}')
+
+
+def _decode_move(text: str) -> MoveStatus:
+    try:
+        msgspec.json.decode(text, type=dict)
+    except msgspec.MsgspecError as error:
+        return MoveUnknown(str(error))
+    return msgspec.Raw(text)
--- /dev/null
+++ b/cowsliploom/daemons/_operator_metrics.py
@@ -0,0 +1,115 @@
+"""Metrics of the operator daemon, owned by one task."""
+
+from concurrent.futures import Future
+from dataclasses import dataclass
+
+from cowsliploom.adapters import Metrics
+from cowsliploom.daemons._inbox import InboxTask
+from cowsliploom.ports import (
+    Absent,
+    Conflict,
+    Store,
+    Swapped,
+    Unanswered,
+    Unchanged,
+)
+from cowsliploom.protocol import LeaseCall, LeaseResult, StoredValue, VmList
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """Count an event by name."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Record the latency of an answer, in milliseconds."""
+
+    work: str
+    caller: str
+    elapsed_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsAsked:
+    """Ask for the text of ``/metrics``."""
+
+    answer: 'Future[str]'
+
+
+MetricsMessage = Counted | Answered | MetricsAsked
+MetricsTask = InboxTask[MetricsMessage]
+
+
+class MetricsKeeper:
+    """Take samples and render them; a task's act."""
+
+    def __init__(self) -> None:
+        self._metrics = Metrics()
+
+    def __call__(self, message: MetricsMessage) -> None:
+        """Take one message."""
+        match message:
+            case Counted(name):
+                self._metrics.count(name)
+            case Answered(work, caller, elapsed_ms):
+                self._metrics.record(work, caller, elapsed_ms)
+            case MetricsAsked(answer):
+                answer.set_result(self._metrics.render())
+
+
+class CountedStore:
+    """Count the calls on a store by their kind, and those without an answer.
+
+    Parameters
+    ----------
+    store : Store
+        Store that is called.
+    metrics : MetricsTask
+        Takes the counts.
+    """
+
+    def __init__(self, store: Store, metrics: MetricsTask) -> None:
+        self.store = store
+        self.metrics = metrics
+
+    def read(self, key: str, timeout_ms: float) -> StoredValue | Absent | Unanswered:
+        """Read a key."""
+        self.metrics.offer(Counted('store_reads'))
+        answer = self.store.read(key, timeout_ms)
+        self._note_unanswered(answer)
+        return answer
+
+    def swap(
+        self, key: str, text: str, expected_version: int, timeout_ms: float
+    ) -> Swapped | Conflict | Unanswered:
+        """Write a key if its version is the expected one (0: absent)."""
+        self.metrics.offer(Counted('store_swaps'))
+        answer = self.store.swap(key, text, expected_version, timeout_ms)
+        self._note_unanswered(answer)
+        return answer
+
+    def watch(
+        self, key: str, after_version: int, wait_ms: float
+    ) -> StoredValue | Unchanged | Unanswered:
+        """Wait until a key's version is above ``after_version``."""
+        self.metrics.offer(Counted('store_watches'))
+        answer = self.store.watch(key, after_version, wait_ms)
+        self._note_unanswered(answer)
+        return answer
+
+    def lease(
+        self, name: str, call: LeaseCall, timeout_ms: float
+    ) -> LeaseResult | Unanswered:
+        """Acquire, renew or release a lease."""
+        return self.store.lease(name, call, timeout_ms)
+
+    def list_vms(self, timeout_ms: float) -> VmList | Unanswered:
+        """List the live and leaving VMs."""
+        return self.store.list_vms(timeout_ms)
+
+    def _note_unanswered(self, answer: object) -> None:
+        if isinstance(answer, Unanswered):
+            self.metrics.offer(Counted('store_unanswered'))
--- /dev/null
+++ b/cowsliploom/daemons/_operator_problems.py
@@ -0,0 +1,141 @@
+"""Problems that the operator daemon answers with."""
+
+from http import HTTPStatus
+
+from cowsliploom.adapters import (
+    FieldProblem,
+    HttpResponse,
+    Problem,
+    problem_response,
+)
+from cowsliploom.ports import Unanswered
+from cowsliploom.resources import (
+    Change,
+    Invalid,
+    Missing,
+    NotAccepted,
+    Raced,
+    ResourceProblem,
+)
+
+RETRY_AFTER_MS = 1000.0  # a store that is back answers at once
+
+
+def refuse(status: HTTPStatus, detail: str, step: str) -> HttpResponse:
+    """Refuse a request of which nothing was done."""
+    problem = Problem(status.phrase, status.value, detail, step, ran='no')
+    return problem_response(problem)
+
+
+def refuse_method(allowed: str) -> HttpResponse:
+    """Refuse a method that a path doesn't have."""
+    status = HTTPStatus.METHOD_NOT_ALLOWED
+    detail = f'expected one of {allowed}'
+    problem = Problem(status.phrase, status.value, detail, 'operator.route', ran='no')
+    return problem_response(problem, (('Allow', allowed),))
+
+
+def refuse_for_now(detail: str, step: str) -> HttpResponse:
+    """Refuse a request that may be asked again soon."""
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    problem = Problem(
+        status.phrase,
+        status.value,
+        detail,
+        step,
+        ran='no',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+    return problem_response(problem)
+
+
+def refuse_documents(problems: tuple[ResourceProblem, ...]) -> HttpResponse:
+    """Refuse documents, naming each wrong field."""
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+    fields = tuple(
+        FieldProblem(wrong.document, wrong.field, wrong.got, wrong.expected)
+        for wrong in problems
+    )
+    problem = Problem(
+        'The resources are not valid; nothing was changed.',
+        status.value,
+        '; '.join(map(str, problems)),
+        'operator.validate',
+        ran='no',
+        problems=fields,
+    )
+    return problem_response(problem)
+
+
+def unanswered_read(failure: Unanswered) -> HttpResponse:
+    """Tell that the configuration can't be read and none is remembered."""
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    problem = Problem(
+        'The store does not answer.',
+        status.value,
+        failure.reason,
+        failure.step,
+        failure.peer,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+    return problem_response(problem)
+
+
+def outcome_response(
+    change: Change, outcome: Raced | Missing | Invalid | NotAccepted
+) -> HttpResponse:
+    """Tell why a change is not known to be in the store.
+
+    Parameters
+    ----------
+    change : Change
+        What was asked.
+    outcome : Raced, Missing, Invalid or NotAccepted
+        What came of it.
+
+    Returns
+    -------
+    HttpResponse
+        409, 404, 422, 503 (not applied) or 504 (maybe applied).
+    """
+    match outcome:
+        case Raced(kind, name, revision):
+            return _lost_race(f'{kind}/{name}', revision)
+        case Missing(kind, name):
+            detail = f'{kind}/{name} does not exist'
+            return refuse(HTTPStatus.NOT_FOUND, detail, 'operator.apply')
+        case Invalid(problems):
+            return refuse_documents(problems)
+        case NotAccepted():
+            return _not_accepted(change, outcome)
+
+
+def _lost_race(document: str, revision: int) -> HttpResponse:
+    problem = Problem(
+        'The resource is not at the expected revision; nothing was changed.',
+        HTTPStatus.CONFLICT.value,
+        f'{document} is at revision {revision} (0: it does not exist)',
+        'operator.apply',
+        ran='no',
+        revision=revision,
+    )
+    return problem_response(problem)
+
+
+def _not_accepted(change: Change, outcome: NotAccepted) -> HttpResponse:
+    title = 'The store does not answer; nothing was changed.'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    if outcome.maybe:
+        title = 'Maybe applied: ask again with the same Change-Id.'
+        status = HTTPStatus.GATEWAY_TIMEOUT
+    problem = Problem(
+        title,
+        status.value,
+        outcome.reason,
+        outcome.step,
+        outcome.peer,
+        ran='unknown' if outcome.maybe else 'no',
+        retry_after_ms=RETRY_AFTER_MS,
+        change_id=change.change_id,
+    )
+    return problem_response(problem)
--- /dev/null
+++ b/cowsliploom/daemons/_operator_status.py
@@ -0,0 +1,133 @@
+"""Status of resources: where they are in force, and how version moves stand."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from cowsliploom.resources import Kind, Resource
+
+BEHIND_LISTED_MAX = 20  # names in an answer; the count tells of all
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonRevision:
+    """Tell which configuration revision an entry VM has in force."""
+
+    name: str
+    data_centre: str
+    applied_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """Tell what each live entry VM has in force, as gossip gathered it."""
+
+    daemons: tuple[DaemonRevision, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetUnknown:
+    """Tell why the fleet's status is not known."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class MoveUnknown:
+    """Tell why a version move's status is not known."""
+
+    reason: str
+
+
+# What the rollout controller wrote, passed on as it is.
+MoveStatus = msgspec.Raw | MoveUnknown
+
+
+@dataclass(frozen=True, slots=True)
+class StatusSnapshot:
+    """Hold status as read at one time.
+
+    Parameters
+    ----------
+    fleet : FleetStatus or FleetUnknown
+        Revisions in force.
+    moves : mapping of str to MoveStatus
+        Status by name of the version move; a move not begun has none.
+    """
+
+    fleet: FleetStatus | FleetUnknown = field(default=FleetUnknown(''))
+    moves: Mapping[str, MoveStatus] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceStatus:
+    """Tell from which daemons a revision is still missing.
+
+    Parameters
+    ----------
+    in_force_everywhere : bool or None
+        Whether every live entry VM has the revision; None when not known.
+    behind : tuple of str
+        First names of entry VMs that don't have it yet, as ``data centre/name``.
+    behind_count : int
+        Number of all entry VMs that don't have it yet.
+    daemons : int
+        Number of entry VMs known.
+    unknown : str
+        What is not known, and why; empty when all is.
+    move : object
+        Version move's status as its controller wrote it; None when there is none.
+    """
+
+    in_force_everywhere: bool | None = None
+    behind: tuple[str, ...] = ()
+    behind_count: int = 0
+    daemons: int = 0
+    unknown: str = ''
+    move: msgspec.Raw | None = None
+
+
+def revision_status(revision: int, fleet: FleetStatus | FleetUnknown) -> ResourceStatus:
+    """Return where a revision is in force.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of a resource or of the whole configuration.
+    fleet : FleetStatus or FleetUnknown
+        Revisions in force.
+
+    Returns
+    -------
+    ResourceStatus
+        Status without a version move.
+    """
+    match fleet:
+        case FleetUnknown(reason):
+            return ResourceStatus(unknown=reason)
+        case FleetStatus(()):
+            return ResourceStatus(unknown='the entry VM knows of no live entry VM')
+    behind = sorted(
+        f'{daemon.data_centre}/{daemon.name}'
+        for daemon in fleet.daemons
+        if daemon.applied_revision < revision
+    )
+    return ResourceStatus(
+        in_force_everywhere=not behind,
+        behind=tuple(behind[:BEHIND_LISTED_MAX]),
+        behind_count=len(behind),
+        daemons=len(fleet.daemons),
+    )
+
+
+def resource_status(resource: Resource, snapshot: StatusSnapshot) -> ResourceStatus:
+    """Return the status of one resource."""
+    status = revision_status(resource.revision, snapshot.fleet)
+    if resource.kind is not Kind.VERSION_MOVE:
+        return status
+    move = snapshot.moves.get(resource.name)
+    if isinstance(move, MoveUnknown):
+        unknown = '; '.join(filter(None, (status.unknown, f'move: {move.reason}')))
+        return replace(status, unknown=unknown)
+    return replace(status, move=move)
--- a/cowsliploom/resources/_log.py
+++ b/cowsliploom/resources/_log.py
@@ -111,6 +111,11 @@
         self.call_timeout_ms = call_timeout_ms
         self.view = ConfigurationView()
 
+    def adopt(self, view: ConfigurationView) -> None:
+        """Take a view that another log of this process has read, if it is newer."""
+        if view.configuration.revision > self.view.configuration.revision:
+            self.view = view
+
     def read(self) -> ConfigurationView | Unanswered:
         """Read the configuration in force.
 
