--- a/cowsliploom/loadgen/_open_loop.py
+++ b/cowsliploom/loadgen/_open_loop.py
@@ -59,22 +59,23 @@
         self.clock = clock
         self.workers = workers
         self.on_record = on_record
+        self._start_ms: float = 0
 
     def run(self, arrivals: Iterable[Arrival]) -> list[CallRecord]:
         """Send all arrivals when due; return when the last has ended."""
         due: queue.SimpleQueue[Arrival | None] = queue.SimpleQueue()
         done: queue.SimpleQueue[CallRecord] = queue.SimpleQueue()
-        start_ms = self.clock.now_ms()
         threads = [
-            threading.Thread(target=self._work, args=(due, done, start_ms), daemon=True)
+            threading.Thread(target=self._work, args=(due, done), daemon=True)
             for _ in range(self.workers)
         ]
         for thread in threads:
             thread.start()
+        self._start_ms = self.clock.now_ms()
         sent = 0
         records: list[CallRecord] = []
         for arrival in arrivals:
-            self._collect_until(start_ms + arrival.at_ms, done, records)
+            self._collect_until(arrival.at_ms, done, records)
             due.put(arrival)
             sent += 1
         for _ in threads:
@@ -90,13 +91,16 @@
         records: list[CallRecord],
     ) -> None:
         """Take finished records while waiting."""
-        left_ms = until_ms - self.clock.now_ms()
+        left_ms = until_ms - self._elapsed_ms()
         while left_ms > 0:
             try:
                 self._take(done.get(timeout=left_ms / MS_PER_S), records)
             except queue.Empty:
                 return
-            left_ms = until_ms - self.clock.now_ms()
+            left_ms = until_ms - self._elapsed_ms()
+
+    def _elapsed_ms(self) -> float:
+        return self.clock.now_ms() - self._start_ms
 
     def _take(self, record: CallRecord, records: list[CallRecord]) -> None:
         records.append(record)
@@ -106,19 +110,18 @@
         self,
         due: 'queue.SimpleQueue[Arrival | None]',
         done: 'queue.SimpleQueue[CallRecord]',
-        start_ms: float,
     ) -> None:
         arrival = due.get()
         while arrival is not None:
-            done.put(self._call(arrival, start_ms))
+            done.put(self._call(arrival))
             arrival = due.get()
 
-    def _call(self, arrival: Arrival, start_ms: float) -> CallRecord:
-        sent_ms = self.clock.now_ms() - start_ms
+    def _call(self, arrival: Arrival) -> CallRecord:
+        sent_ms = self._elapsed_ms()
         attempt = 0
         outcome = self.caller.call(arrival, attempt)
         while self.caller.may_retry(arrival, outcome, attempt):
             attempt += 1
             outcome = self.caller.call(arrival, attempt)
-        ended_ms = self.clock.now_ms() - start_ms
+        ended_ms = self._elapsed_ms()
         return CallRecord(arrival, sent_ms, ended_ms, attempt + 1, outcome)
--- a/cowsliploom/loadgen/_recount.py
+++ b/cowsliploom/loadgen/_recount.py
@@ -106,8 +106,8 @@
         for log in logs:
             self.payloads.update(entry.payload for entry in log.runs)
             for entry in log.searches:
-                query_id, _, _ = entry.request_id.rpartition('.')
-                self._attempts[query_id].append(_Attempt(log.service, entry))
+                request_id = caller_request_id(entry.request_id)
+                self._attempts[request_id].append(_Attempt(log.service, entry))
 
     def covered_docs(self, query_id: str, answer: Answered) -> CoverageBounds:
         """Bound the documents that an answer may claim for its snapshot.
@@ -143,6 +143,20 @@
         return Counter(attempt.service for attempt in self._attempts.get(query_id, ()))
 
 
+def caller_request_id(sub_request_id: str) -> str:
+    """Return the caller's request id that a sub-request's id begins with.
+
+    Examples
+    --------
+    >>> caller_request_id('load-1.5~entry-0-17.3')
+    'load-1.5'
+    >>> caller_request_id('load-1.5.3')
+    'load-1.5'
+    """
+    request_id, mark, _ = sub_request_id.partition('~')
+    return request_id if mark else sub_request_id.rpartition('.')[0]
+
+
 def count_docs(ranges: Iterable[DocRange]) -> int:
     """Count documents in ranges; overlaps count once.
 
--- a/cowsliploom/loadgen/tests/test_recount.py
+++ b/cowsliploom/loadgen/tests/test_recount.py
@@ -23,6 +23,8 @@
         (answered(10), (log('a', entry(snapshot=6)),), 'over'),
         (answered(10), (log('a', entry('other.1')),), 'over'),
         (answered(10), (log('a', entry(), entry('q.3')),), 'equal'),
+        (answered(10), (log('a', entry('q~entry-0-17.1')),), 'equal'),
+        (answered(10), (log('a', entry('q2~entry-0-17.1')),), 'over'),
         (answered(10), (log('a', entry(), entry('q.3', end=4)),), 'within'),
         (answered(0, missing=('a',)), (log('a'),), 'equal'),
     ],
