--- a/cowsliploom/daemons/_operator_api.py
+++ b/cowsliploom/daemons/_operator_api.py
@@ -134,7 +134,7 @@
             case '/metrics':
                 return self._metrics()
             case '/v1/status':
-                return self._status()
+                return self._status(requests.read_revision(request))
         return problems.refuse(
             HTTPStatus.NOT_FOUND, f'no such path: {request.path}', 'operator.route'
         )
@@ -248,15 +248,16 @@
         except NoAnswer:
             return StatusSnapshot(FleetUnknown('status took too long to gather'))
 
-    def _status(self) -> HttpResponse:
+    def _status(self, asked_revision: int | None) -> HttpResponse:
         current = self._read()
         if isinstance(current, HttpResponse):
             return current
-        revision = current.view.configuration.revision
+        newest = current.view.configuration.revision
+        revision = newest if asked_revision is None else asked_revision
         status = revision_status(revision, self._read_status(()).fleet)
         failure = self.feed.state.store_failure if current.stale else ''
         return documents.json_response(
-            documents.StatusAnswer(revision, status, failure)
+            documents.StatusAnswer(revision, newest, status, failure)
         )
 
     def _readiness(self) -> HttpResponse:
--- a/cowsliploom/daemons/_operator_documents.py
+++ b/cowsliploom/daemons/_operator_documents.py
@@ -45,9 +45,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusAnswer:
-    """Tell where the newest configuration revision is in force."""
+    """Tell where a configuration revision is in force, and which is the newest."""
 
     revision: int
+    newest_revision: int
     status: ResourceStatus
     store_failure: str = ''
 
--- a/cowsliploom/daemons/_operator_requests.py
+++ b/cowsliploom/daemons/_operator_requests.py
@@ -76,12 +76,21 @@
 
 def read_after_revision(request: HttpRequest) -> int | None:
     """Read where a watch goes on; None to begin with all resources."""
-    text = request.query.get('after_revision')
+    return _read_number(request, 'after_revision')
+
+
+def read_revision(request: HttpRequest) -> int | None:
+    """Read which revision's status is asked for; None for the newest."""
+    return _read_number(request, 'revision')
+
+
+def _read_number(request: HttpRequest, name: str) -> int | None:
+    text = request.query.get(name)
     if text is None:
         return None
     if REVISION_PATTERN.fullmatch(text):
         return int(text)
-    raise BadField('after_revision', text, 'a revision, a whole number')
+    raise BadField(name, text, 'a revision, a whole number')
 
 
 def read_watch(request: HttpRequest) -> bool:
--- a/cowsliploom/daemons/tests/test_operator.py
+++ b/cowsliploom/daemons/tests/test_operator.py
@@ -309,12 +309,20 @@
                 False,
                 ['de/entry-2'],
             )
+            assert fleet_status(operator, 1) is False
+            assert fleet_status(operator, 0) is True
             with operator.watch() as watch:
                 assert watch.until('status')['status']['behind'] == ['de/entry-2']
                 entry.daemons = {'entry-1': 1, 'entry-2': 1}
                 assert watch.until('status')['status']['in_force_everywhere'] is True
 
 
+def fleet_status(operator, revision):
+    answer = operator.ask('GET', f'/v1/status?revision={revision}').body
+    assert (answer['revision'], answer['newest_revision']) == (revision, 1)
+    return answer['status']['in_force_everywhere']
+
+
 @pytest.mark.parametrize('entries', [(), ('127.0.0.1:1',)])
 def test_status_that_is_not_known_says_why(store, entries):
     with Operator(store, entries=entries) as operator:
