--- a/cowsliploom/coordination/__init__.py
+++ b/cowsliploom/coordination/__init__.py
@@ -55,3 +55,16 @@
 from cowsliploom.coordination._node import ServersWatched as ServersWatched
 from cowsliploom.coordination._ownership import Ownership as Ownership
 from cowsliploom.coordination._ownership import WatchedServer as WatchedServer
+from cowsliploom.coordination._leases import CallLease as CallLease
+from cowsliploom.coordination._leases import LeaseAnswered as LeaseAnswered
+from cowsliploom.coordination._leases import LeaseCommand as LeaseCommand
+from cowsliploom.coordination._leases import LeaseEvent as LeaseEvent
+from cowsliploom.coordination._leases import LeaseGained as LeaseGained
+from cowsliploom.coordination._leases import LeaseHolder as LeaseHolder
+from cowsliploom.coordination._leases import LeaseLost as LeaseLost
+from cowsliploom.coordination._leases import LeaseSettings as LeaseSettings
+from cowsliploom.coordination._leases import LeaseTicked as LeaseTicked
+from cowsliploom.coordination._leases import LeaseUnanswered as LeaseUnanswered
+from cowsliploom.coordination._leases import LeaseWanted as LeaseWanted
+from cowsliploom.coordination._store_watch import StoreWatchPlan as StoreWatchPlan
+from cowsliploom.coordination._store_watch import WatchStore as WatchStore
--- a/cowsliploom/coordination/_dissemination.py
+++ b/cowsliploom/coordination/_dissemination.py
@@ -118,6 +118,10 @@
         self._queue.put(fact.key, fact)
         return True
 
+    def find_fact(self, key: str) -> Fact | None:
+        """Return the fact of the highest generation under a key."""
+        return self._facts.get(key)
+
     def news(self, fleet_size: int) -> News:
         """Return what the next frame carries."""
         return News(self.revision, self.fact_digest, self._queue.take(fleet_size))
--- /dev/null
+++ b/cowsliploom/coordination/tests/test_leases.py
@@ -0,0 +1,294 @@
+"""Leases: no two holders, whatever is lost, delayed, paused or out of step."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cowsliploom.coordination import (
+    CallLease,
+    LeaseAnswered,
+    LeaseGained,
+    LeaseHolder,
+    LeaseLost,
+    LeaseSettings,
+    LeaseTicked,
+    LeaseUnanswered,
+    LeaseWanted,
+)
+from cowsliploom.coordination.tests.fleet_loop import SimulatedTime
+from cowsliploom.protocol import LeaseResult
+
+TTL_MS = 6000
+TICK_MS = 100
+LOOK_MS = 20
+
+
+class LeaseStore:
+    """One lease, as the platform's store keeps it."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.holder = ''
+        self.until_ms = 0
+        self.token = 0
+        self.is_out = False
+        self.calls = 0
+
+    def take(self, call):
+        now_ms = self.loop.now_ms
+        is_free = not self.holder or now_ms >= self.until_ms
+        if call.release:
+            if call.token == self.token:
+                self.until_ms = now_ms
+        elif is_free:
+            self.token += 1
+            self.holder = call.holder
+            self.until_ms = now_ms + call.ttl_ms
+        elif call.holder == self.holder:
+            self.until_ms = now_ms + call.ttl_ms
+        return LeaseResult('l', self.holder, self.token, self.until_ms, now_ms)
+
+
+class Daemon:  # noqa: WPS230 - a process with its clock and its faults
+    """Run one holder against the store with delays and losses."""
+
+    def __init__(self, loop, store, name, rate, holder_type=LeaseHolder):
+        self.loop = loop
+        self.store = store
+        self.rate = rate
+        self.holder = holder_type(
+            LeaseSettings('l', name, TTL_MS), loop.random.random()
+        )
+        self.is_frozen = False
+        self.held = []
+        self.events = []
+        loop.at(loop.random.uniform(0, TICK_MS), self.tick)
+        loop.at(0, self.feed, LeaseWanted, True)
+
+    def local_ms(self):
+        return self.loop.now_ms * self.rate
+
+    def holds(self):
+        return not self.is_frozen and self.holder.holds(self.local_ms())
+
+    def tick(self):
+        self.loop.at(TICK_MS, self.tick)
+        if not self.is_frozen:
+            self.feed(LeaseTicked)
+
+    def feed(self, event_type, *arguments):
+        if self.is_frozen:
+            self.held.append((event_type, arguments))
+            return
+        for command in self.holder.step(event_type(self.local_ms(), *arguments)):
+            if isinstance(command, CallLease):
+                self.call(command)
+            else:
+                self.events.append(command)
+
+    def call(self, command):
+        self.store.calls += 1
+        delay_ms = self.loop.random.choice([1, 5, 400])
+        fate = self.loop.random.randrange(100)
+        if self.store.is_out or fate < 10:
+            self.loop.at(
+                command.timeout_ms, self.feed, LeaseUnanswered, command.call_id
+            )
+        else:
+            is_lost = fate < 25
+            self.loop.at(delay_ms, self.arrive, command, delay_ms, is_lost)
+
+    def arrive(self, command, delay_ms, is_lost):
+        answer = self.store.take(command.call)
+        if is_lost:
+            self.loop.at(
+                command.timeout_ms, self.feed, LeaseUnanswered, command.call_id
+            )
+        else:
+            self.loop.at(delay_ms, self.feed, LeaseAnswered, command.call_id, answer)
+
+    def wake(self):
+        self.is_frozen = False
+        for event_type, arguments in self.held:
+            self.feed(event_type, *arguments)
+        self.held.clear()
+
+
+class LeaseLoop(SimulatedTime):
+    """Run daemons that want one lease, and note overlapping holders."""
+
+    def __init__(self, seed, holder_type=LeaseHolder):
+        super().__init__()
+        self.random = random.Random(seed)
+        self.store = LeaseStore(self)
+        rates = (0.99, 1.0, 1.01)
+        self.daemons = [
+            Daemon(self, self.store, f'vm-{rate}', rate, holder_type) for rate in rates
+        ]
+        self.overlaps = 0
+        self.held_ms = 0
+        self.at(0, self.look)
+
+    def look(self):
+        holding = sum(daemon.holds() for daemon in self.daemons)
+        self.overlaps += holding > 1
+        self.held_ms += LOOK_MS * (holding == 1)
+        self.at(LOOK_MS, self.look)
+
+    def is_held(self):
+        return any(daemon.holds() for daemon in self.daemons)
+
+    def freeze(self, number, span_ms):
+        daemon = self.daemons[number]
+        if not daemon.is_frozen:
+            daemon.is_frozen = True
+            self.at(span_ms, daemon.wake)
+
+    def take_store_out(self, span_ms):
+        self.store.is_out = True
+        self.at(span_ms, setattr, self.store, 'is_out', False)
+
+
+faults = st.lists(
+    st.tuples(
+        st.integers(100, 9000),
+        st.sampled_from([0, 1, 2, None]),
+        st.integers(100, 15_000),
+    ),
+    max_size=12,
+)
+
+
+def play(seed, drawn, holder_type=LeaseHolder):
+    loop = LeaseLoop(seed, holder_type)
+    for wait_ms, number, span_ms in drawn:
+        loop.run(wait_ms)
+        if number is None:
+            loop.take_store_out(span_ms)
+        else:
+            loop.freeze(number, span_ms)
+    loop.run(30_000)
+    return loop
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.integers(0, 10_000), faults)
+def test_no_two_daemons_hold_the_lease(seed, drawn):
+    loop = play(seed, drawn)
+    loop.run_until(loop.is_held, 30_000)
+    assert not loop.overlaps
+
+
+class _CountsFromTheAnswer(LeaseHolder):
+    def _take(self, now_ms, answer):
+        self._sent_ms = now_ms
+        return super()._take(now_ms, answer)
+
+
+class _KeepsWhatItHeld(LeaseHolder):
+    def holds(self, now_ms):
+        return self._held is not None
+
+
+@pytest.mark.parametrize('holder_type', [_CountsFromTheAnswer, _KeepsWhatItHeld])
+def test_seeded_fault_in_a_lease_is_caught(holder_type):
+    found = 0
+    for seed in range(20):
+        spans = random.Random(seed)
+        drawn = [
+            (spans.uniform(500, 3000), number % 3, spans.uniform(4500, 6500))
+            for number in range(20)
+        ]
+        assert not play(seed, drawn).overlaps
+        found += play(seed, drawn, holder_type).overlaps
+    assert found
+
+
+def test_fencing_tokens_rise_with_each_new_holder():
+    loop = play(5, [(12_000, number % 3, 9000) for number in range(9)])
+    gained = [
+        event.token
+        for daemon in loop.daemons
+        for event in daemon.events
+        if isinstance(event, LeaseGained)
+    ]
+    assert len(set(gained)) > 3
+
+
+def test_each_gain_is_followed_by_its_loss():
+    loop = play(6, [(12_000, number % 3, 9000) for number in range(9)])
+    for daemon in loop.daemons:
+        for gained, lost in itertools.pairwise(daemon.events):
+            assert isinstance(gained, LeaseGained) != isinstance(lost, LeaseGained)
+        pairs = zip(daemon.events[::2], daemon.events[1::2], strict=False)
+        assert all(gained.token == lost.token for gained, lost in pairs)
+
+
+def test_lease_is_held_nearly_all_the_time_without_faults():
+    loop = LeaseLoop(3)
+    loop.run(120_000)
+    assert loop.held_ms >= 0.95 * 120_000
+
+
+@pytest.mark.parametrize('is_out', [False, True])
+def test_calls_on_the_store_stay_few(is_out):
+    loop = LeaseLoop(3)
+    loop.run(10_000)
+    loop.store.calls = 0
+    loop.store.is_out = is_out
+    loop.run(60_000)
+    calls_per_daemon = loop.store.calls / len(loop.daemons)
+    assert calls_per_daemon <= 60_000 / TTL_MS * 4
+
+
+def holder_with(token=3):
+    holder = LeaseHolder(LeaseSettings('l', 'me', TTL_MS), seed=1)
+    call = holder.step(LeaseWanted(0, wanted=True))[0]
+    granted = LeaseResult('l', 'me', token, TTL_MS, 0)
+    holder.step(LeaseAnswered(10, call.call_id, granted))
+    return holder
+
+
+def test_answer_later_than_the_life_grants_nothing():
+    holder = LeaseHolder(LeaseSettings('l', 'me', TTL_MS), seed=1)
+    call = holder.step(LeaseWanted(0, wanted=True))[0]
+    granted = LeaseResult('l', 'me', 3, TTL_MS, 0)
+    events = holder.step(LeaseAnswered(TTL_MS, call.call_id, granted))
+    assert not any(isinstance(event, LeaseGained) for event in events)
+    assert not holder.holds(TTL_MS)
+
+
+def test_lost_renewal_is_sent_again_with_the_token():
+    holder = holder_with(token=3)
+    renewal = holder.step(LeaseTicked(2000))[0]
+    assert renewal.call.token == 3
+    holder.step(LeaseUnanswered(3000, renewal.call_id))
+    again = [
+        command
+        for now_ms in range(3000, 4000, 100)
+        for command in holder.step(LeaseTicked(now_ms))
+    ]
+    assert again[0].call.token == 3
+    assert holder.holds(4000)
+
+
+def test_unwanted_lease_is_lost_before_it_is_released():
+    holder = holder_with(token=3)
+    lost, release = holder.step(LeaseWanted(100, wanted=False))
+    assert lost == LeaseLost('l', 3)
+    assert release.call.release
+    assert release.call.token == 3
+    assert not holder.holds(100)
+    assert not holder.step(LeaseTicked(9000))
+
+
+def test_holder_that_hears_of_another_one_stops_at_once():
+    holder = holder_with(token=3)
+    renewal = holder.step(LeaseTicked(2000))[0]
+    other = LeaseResult('l', 'other', 4, 9000, 2000)
+    assert holder.step(LeaseAnswered(2010, renewal.call_id, other)) == [
+        LeaseLost('l', 3)
+    ]
