--- a/cowsliploom/coordination/__init__.py
+++ b/cowsliploom/coordination/__init__.py
@@ -1,5 +1,32 @@
 """Coordination parts that others embed: membership, ownership, news, leases."""
 
+from cowsliploom.coordination._claims import CLAIM_TTL_MS as CLAIM_TTL_MS
+from cowsliploom.coordination._claims import SEND_WINDOW_MS as SEND_WINDOW_MS
+from cowsliploom.coordination._claims import ClaimAsked as ClaimAsked
+from cowsliploom.coordination._claims import ClaimTick as ClaimTick
+from cowsliploom.coordination._claims import Decided as Decided
+from cowsliploom.coordination._claims import Granted as Granted
+from cowsliploom.coordination._claims import InFlight as InFlight
+from cowsliploom.coordination._claims import Mismatch as Mismatch
+from cowsliploom.coordination._claims import NotRunKnown as NotRunKnown
+from cowsliploom.coordination._claims import OutcomeKnown as OutcomeKnown
+from cowsliploom.coordination._claims import ReadSegment as ReadSegment
+from cowsliploom.coordination._claims import Replay as Replay
+from cowsliploom.coordination._claims import SegmentRead as SegmentRead
+from cowsliploom.coordination._claims import SegmentSwapped as SegmentSwapped
+from cowsliploom.coordination._claims import StoreOut as StoreOut
+from cowsliploom.coordination._claims import SwapSegment as SwapSegment
+from cowsliploom.coordination._claims import digest_key as digest_key
+from cowsliploom.coordination._claims import digest_request as digest_request
+from cowsliploom.coordination._claims import segment_key as segment_key
+from cowsliploom.coordination._claims_book import ClaimBook as ClaimBook
+from cowsliploom.coordination._dissemination import (
+    ConfigurationHeard as ConfigurationHeard,
+)
+from cowsliploom.coordination._dissemination import Dissemination as Dissemination
+from cowsliploom.coordination._dissemination import FactHeard as FactHeard
+from cowsliploom.coordination._dissemination import FetchAnswer as FetchAnswer
+from cowsliploom.coordination._dissemination import FetchAsk as FetchAsk
 from cowsliploom.coordination._members import Member as Member
 from cowsliploom.coordination._members import MemberState as MemberState
 from cowsliploom.coordination._members import MemberStatus as MemberStatus
@@ -24,21 +51,6 @@
 from cowsliploom.coordination._messages import SeedsListed as SeedsListed
 from cowsliploom.coordination._messages import Superseded as Superseded
 from cowsliploom.coordination._messages import Ticked as Ticked
-from cowsliploom.coordination._rendezvous import chosen_watchers as chosen_watchers
-from cowsliploom.coordination._rendezvous import rank_names as rank_names
-from cowsliploom.coordination._settings import (
-    MembershipSettings as MembershipSettings,
-)
-from cowsliploom.coordination._settings import (
-    check_membership_settings as check_membership_settings,
-)
-from cowsliploom.coordination._dissemination import (
-    ConfigurationHeard as ConfigurationHeard,
-)
-from cowsliploom.coordination._dissemination import Dissemination as Dissemination
-from cowsliploom.coordination._dissemination import FactHeard as FactHeard
-from cowsliploom.coordination._dissemination import FetchAnswer as FetchAnswer
-from cowsliploom.coordination._dissemination import FetchAsk as FetchAsk
 from cowsliploom.coordination._node import AnswerFetch as AnswerFetch
 from cowsliploom.coordination._node import (
     ConfigurationAnnounced as ConfigurationAnnounced,
@@ -68,3 +80,11 @@
 from cowsliploom.coordination._leases import LeaseWanted as LeaseWanted
 from cowsliploom.coordination._store_watch import StoreWatchPlan as StoreWatchPlan
 from cowsliploom.coordination._store_watch import WatchStore as WatchStore
+from cowsliploom.coordination._rendezvous import chosen_watchers as chosen_watchers
+from cowsliploom.coordination._rendezvous import rank_names as rank_names
+from cowsliploom.coordination._settings import (
+    MembershipSettings as MembershipSettings,
+)
+from cowsliploom.coordination._settings import (
+    check_membership_settings as check_membership_settings,
+)
