Count a revision as applied only once the daemon has it in force

Before, a configuration fetched from a peer counted as applied when its bytes had arrived, also if the daemon then couldn't decode it; the status would have told an operator that it was in force. Now only announce_configuration counts, which the entry daemon calls when the router has taken it. The new test hears a configuration, doesn't apply it, and sees revision 0 until it does. Run: coordination and peer task tests pass.

--- a/cowsliploom/coordination/_node.py
+++ b/cowsliploom/coordination/_node.py
@@ -36,7 +36,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationAnnounced:
-    """Take a configuration that this daemon read from the store."""
+    """Take a configuration that this daemon has in force, from wherever it came.
+
+    Only this makes a revision count as applied: a daemon that was told of a
+    configuration by ``ConfigurationHeard`` announces it in turn once it is in force.
+    """
 
     now_ms: float
     revision: int
@@ -188,8 +192,10 @@
     def _take(self, event: NodeEvent) -> Iterator[NodeCommand]:
         match event:
             case ConfigurationAnnounced(now_ms, revision, blob):
-                if self.news.announce_configuration(revision, blob):
-                    yield from self._apply(now_ms)
+                is_new = self.news.announce_configuration(revision, blob)
+                applied = RevisionApplied(now_ms, revision)
+                yield from self._translate(now_ms, self.membership.step(applied))
+                if is_new:
                     yield ConfigurationHeard(revision, blob)
             case FactAnnounced(_, fact):
                 if self.news.announce_fact(fact):
@@ -198,20 +204,14 @@
                 self.ownership.watch(now_ms, servers)
             case FetchAsked(_, request_id, ask):
                 yield AnswerFetch(request_id, self.news.answer(ask))
-            case FetchAnswered(now_ms, answer):
+            case FetchAnswered(_, answer):
                 self._is_fetching = False
-                heard = self.news.take(answer)
-                yield from self._apply(now_ms)
-                yield from heard
+                yield from self.news.take(answer)
             case FetchFailed():
                 self._is_fetching = False
             case _:
                 yield from self._take_membership(event)
 
-    def _apply(self, now_ms: float) -> Iterator[NodeCommand]:
-        applied = RevisionApplied(now_ms, self.news.revision)
-        yield from self._translate(now_ms, self.membership.step(applied))
-
     def _take_membership(self, event: MembershipEvent) -> Iterator[NodeCommand]:
         match event:
             case PeerCalled() | PeerAnswered():
--- a/cowsliploom/coordination/tests/fleet_loop.py
+++ b/cowsliploom/coordination/tests/fleet_loop.py
@@ -11,6 +11,8 @@
     AnswerFetch,
     AnswerPeer,
     CallPeer,
+    ConfigurationAnnounced,
+    ConfigurationHeard,
     FetchAnswered,
     FetchAsked,
     FetchFailed,
@@ -267,6 +269,9 @@
                 )
             case AnswerPeer(request_id, content) | AnswerFetch(request_id, content):
                 self._answer(vm, request_id, content)
+            case ConfigurationHeard(revision, blob):
+                vm.events.append((self.now_ms, command))
+                self._feed(vm, ConfigurationAnnounced, revision, blob)
             case _:
                 vm.events.append((self.now_ms, command))
 
--- a/cowsliploom/daemons/_peer_task.py
+++ b/cowsliploom/daemons/_peer_task.py
@@ -142,7 +142,11 @@
         await asyncio.sleep(LEAVE_WAIT_MS / MS_PER_S)
 
     def announce_configuration(self, revision: int, blob: bytes) -> None:
-        """Spread a configuration; one of no higher revision is passed over."""
+        """Tell that a configuration is in force here, and spread it if it is new.
+
+        A configuration that ``ConfigurationHeard`` told of is announced in turn once
+        it is in force; only then does ``fleet`` show its revision for this daemon.
+        """
         self._step(
             coordination.ConfigurationAnnounced(self.clock.now_ms(), revision, blob)
         )
--- a/cowsliploom/daemons/tests/test_peer_task.py
+++ b/cowsliploom/daemons/tests/test_peer_task.py
@@ -23,9 +23,12 @@
 
     def __init__(self):
         self.events = []
+        self.task = None
 
     def __call__(self, event):
         self.events.append(event)
+        if isinstance(event, ConfigurationHeard):
+            self.task.announce_configuration(event.revision, event.blob)
 
     def last(self, kind):
         return next(
@@ -51,6 +54,7 @@
         member = Member(f'vm-{number}', '', data_centre, incarnation=1)
         settings = PeerTaskSettings(member, '127.0.0.1:0', FAST, seed=number + 1)
         task = PeerTask(settings, recorder)
+        recorder.task = task
         await task.start()
         fleet.append((task, recorder))
     seeds = tuple(
@@ -107,3 +111,23 @@
         await fleet[3][0].close()
 
     asyncio.run(play())
+
+
+def test_revision_counts_as_applied_only_once_it_is_in_force():
+    async def play():
+        fleet = await start_fleet(('de', 'de'))
+        told = fleet[1][1]
+        told.task = Recorder()
+        told.task.announce_configuration = lambda revision, blob: None
+        fleet[0][0].announce_configuration(3, b'three')
+        await until(lambda: told.last(ConfigurationHeard))
+        await asyncio.sleep(1)
+        before = {status.applied_revision for status in fleet[0][0].fleet()}
+        fleet[1][0].announce_configuration(3, b'three')
+        await until(
+            lambda: {status.applied_revision for status in fleet[0][0].fleet()} == {3}
+        )
+        await close_fleet(fleet)
+        return before
+
+    assert asyncio.run(play()) == {0, 3}
