Move versions by schedule, and take bad ones back by sequential tests

Weighed: fixed-sample tests looked at each tick (false vetoes add up), a plain e-process (slow when a version turns bad late), and a likelihood-ratio mixture over the time of the change, which was taken: it may be looked at any time and finds a late change soon. Vetoes and shares go as facts between daemons; the store's version of a move's state orders shares and fences controllers.

Ruled out: each daemon moving its share by its own clock, as a share would then grow through a store outage; a cooling window of time for the old version's rates, as it is empty after the last step.

--- /dev/null
+++ b/cowsliploom/daemons/_rollout_task.py
@@ -0,0 +1,234 @@
+"""Task that owns one daemon's part in version moves and its calls on the store."""
+
+import queue
+import threading
+from collections import Counter
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from types import TracebackType
+
+from cowsliploom.ports import Clock, Store
+from cowsliploom.resources import Configuration
+from cowsliploom.rollout import (
+    AnnounceFact,
+    CallLease,
+    CandidateChanged,
+    LeaseAnswered,
+    MoveState,
+    ReadState,
+    Rollout,
+    StateRead,
+    StateSwapped,
+    SwapState,
+    Veto,
+)
+from cowsliploom.rollout._control_messages import ControllerEvent
+from cowsliploom.rollout._leadership import LEASE_NAME
+from cowsliploom.rollout._rollout import RolloutCommand
+from cowsliploom.routing import RecordSample, SharesChanged
+
+MS_PER_S = 1000
+TICK_MS = 100  # a veto waits for the next tick
+STORE_TIMEOUT_MS = 1000  # calls are few, and a slow store is no emergency
+INBOX_MAX = 50_000  # samples beyond this are dropped and counted
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutView:
+    """Show what this daemon knows of the version moves.
+
+    Parameters
+    ----------
+    states : mapping of str to MoveState
+        Latest known state of each move, by name.
+    vetoes : tuple of Veto
+        Vetoes raised or heard.
+    is_controller : bool
+        Whether this daemon moves the shares at present.
+    """
+
+    states: Mapping[str, MoveState]
+    vetoes: tuple[Veto, ...]
+    is_controller: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Configured:
+    configuration: Configuration
+    entries: int
+
+
+@dataclass(frozen=True, slots=True)
+class _FactHeard:
+    key: str
+    generation: int
+    blob: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _Stop:
+    """End the task."""
+
+
+_Message = RecordSample | _Configured | _FactHeard | ControllerEvent | _Stop
+
+
+class RolloutTask:
+    """Judge new versions and move their shares, in a thread of its own.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    clock : Clock
+        Clock of this daemon.
+    daemon, incarnation : str
+        Name of this daemon, and a text that differs for each of its starts.
+    shares_changed : callable
+        Called from the task's thread with each ``SharesChanged``.
+    announce_fact : callable
+        Called from the task's thread with key, generation and blob of a fact that
+        all daemons shall hear.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        daemon: str,
+        incarnation: str,
+        shares_changed: Callable[[SharesChanged], None],
+        announce_fact: Callable[[str, int, bytes], None],
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.shares_changed = shares_changed
+        self.announce_fact = announce_fact
+        self._rollout = Rollout(daemon, incarnation)
+        self._view = RolloutView({}, (), is_controller=False)
+        self._inbox: queue.SimpleQueue[_Message] = queue.SimpleQueue()
+        self._calls: Counter[str] = Counter()
+        self._ticked_ms = float('-inf')
+        self._thread = threading.Thread(target=self._run, name='rollout', daemon=True)
+        self._worker = ThreadPoolExecutor(1, 'rollout-store')
+
+    def __enter__(self) -> 'RolloutTask':
+        """Start the thread."""
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop; another daemon takes the moves over when the lease runs out."""
+        self._inbox.put(_Stop())
+        self._thread.join()
+        self._worker.shutdown(wait=True, cancel_futures=True)
+
+    def sample(self, sample: RecordSample) -> None:
+        """Take a finished call as evidence."""
+        if self._inbox.qsize() < INBOX_MAX:
+            self._inbox.put(sample)
+        else:
+            self._calls['dropped_sample'] += 1
+
+    def configuration(self, configuration: Configuration, entries: int) -> None:
+        """Take a configuration and the number of live entry VMs."""
+        self._inbox.put(_Configured(configuration, entries))
+
+    def candidate(self, *, is_candidate: bool) -> None:
+        """Take whether this daemon is one of the few that may be the controller."""
+        self._inbox.put(CandidateChanged(self.clock.now_ms(), is_candidate))
+
+    def fact_heard(self, key: str, generation: int, blob: bytes) -> None:
+        """Take a fact of another daemon."""
+        self._inbox.put(_FactHeard(key, generation, blob))
+
+    def view(self) -> RolloutView:
+        """Return what is known of the moves, as of the latest tick."""
+        return self._view
+
+    def counts(self) -> Mapping[str, int]:
+        """Return calls on the store by kind, and samples dropped."""
+        return dict(self._calls)
+
+    def _run(self) -> None:
+        while True:
+            message = self._next_message()
+            if isinstance(message, _Stop):
+                break
+            if message is not None:
+                self._perform(self._take(message))
+            self._tick_when_due()
+
+    def _next_message(self) -> _Message | None:
+        try:
+            return self._inbox.get(timeout=TICK_MS / MS_PER_S)
+        except queue.Empty:
+            return None
+
+    def _take(
+        self, message: RecordSample | _Configured | _FactHeard | ControllerEvent
+    ) -> tuple[RolloutCommand, ...]:
+        now_ms = self.clock.now_ms()
+        match message:
+            case RecordSample():
+                self._rollout.sample(message)
+                return ()
+            case _Configured(configuration, entries):
+                return self._rollout.configure(now_ms, configuration, entries)
+            case _FactHeard(key, generation, blob):
+                return self._rollout.hear(now_ms, key, generation, blob)
+            case _:
+                return self._rollout.control(message)
+
+    def _tick_when_due(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms < self._ticked_ms + TICK_MS:
+            return
+        self._ticked_ms = now_ms
+        self._perform(self._rollout.tick(now_ms, self.clock.wall_ms()))
+        self._view = RolloutView(
+            states=self._rollout.states(),
+            vetoes=self._rollout.vetoes(),
+            is_controller=self._rollout.is_controller(now_ms),
+        )
+
+    def _perform(self, commands: tuple[RolloutCommand, ...]) -> None:
+        for command in commands:
+            match command:
+                case SharesChanged():
+                    self.shares_changed(command)
+                case AnnounceFact(key, generation, blob):
+                    self.announce_fact(key, generation, blob)
+                case CallLease():
+                    self._worker.submit(self._lease, command)
+                case ReadState():
+                    self._worker.submit(self._read, command)
+                case SwapState():
+                    self._worker.submit(self._swap, command)
+
+    def _lease(self, command: CallLease) -> None:
+        self._calls['lease'] += 1
+        sent_ms = self.clock.now_ms()
+        answer = self.store.lease(LEASE_NAME, command.call, STORE_TIMEOUT_MS)
+        self._inbox.put(LeaseAnswered(self.clock.now_ms(), sent_ms, answer))
+
+    def _read(self, command: ReadState) -> None:
+        self._calls['read'] += 1
+        answer = self.store.read(f'moves/{command.move}', STORE_TIMEOUT_MS)
+        self._inbox.put(StateRead(self.clock.now_ms(), command.move, answer))
+
+    def _swap(self, command: SwapState) -> None:
+        self._calls['swap'] += 1
+        answer = self.store.swap(
+            f'moves/{command.move}',
+            command.text,
+            command.expected_version,
+            STORE_TIMEOUT_MS,
+        )
+        self._inbox.put(StateSwapped(self.clock.now_ms(), command.move, answer))
--- /dev/null
+++ b/cowsliploom/daemons/tests/test_rollout_task.py
@@ -0,0 +1,109 @@
+"""The rollout task over a store in memory, with real threads."""
+
+import threading
+import time
+
+import pytest
+
+from cowsliploom.adapters import SystemClock
+from cowsliploom.daemons._rollout_task import RolloutTask
+from cowsliploom.ports import Absent, Conflict, Swapped
+from cowsliploom.protocol import LeaseResult, StoredValue
+from cowsliploom.rollout.tests.moves_world import configuration
+from cowsliploom.routing import RecordSample
+
+WAIT_S = 20
+
+
+class MemoryStore:
+    """A store in memory with one lease that its first asker holds."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.values = {}
+        self.holder = ''
+
+    def lease(self, name, call, timeout_ms):
+        self.holder = self.holder or call.holder
+        return LeaseResult(name, self.holder, 1, 1e12, 1000.0)
+
+    def read(self, key, timeout_ms):
+        with self.lock:
+            version, text = self.values.get(key, (0, ''))
+        return StoredValue(key, version, text, 1000.0) if version else Absent(key)
+
+    def swap(self, key, text, expected_version, timeout_ms):
+        with self.lock:
+            version = self.values.get(key, (0, ''))[0]
+            if version != expected_version:
+                return Conflict(version)
+            self.values[key] = (version + 1, text)
+            return Swapped(version + 1)
+
+
+class Daemon:
+    """A task with what it said, and gossip to the others."""
+
+    def __init__(self, name, store, fleet):
+        self.shares = []
+        self.fleet = fleet
+        self.task = RolloutTask(
+            store, SystemClock(), name, 'a', self.shares.append, self.announce
+        )
+        fleet.append(self)
+
+    def announce(self, key, generation, blob):
+        for other in self.fleet:
+            if other is not self:
+                other.task.fact_heard(key, generation, blob)
+
+    def share(self):
+        latest = self.shares[-1].shares if self.shares else ()
+        return latest[0].share if latest else None
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, 'condition not met in time'
+        time.sleep(0.01)
+
+
+@pytest.fixture
+def fleet():
+    store, daemons = MemoryStore(), []
+    for number in range(3):
+        Daemon(f'entry-{number}', store, daemons)
+    for daemon in daemons:
+        daemon.task.__enter__()
+        daemon.task.configuration(configuration(servers=1), len(daemons))
+    yield daemons
+    for daemon in daemons:
+        daemon.task.__exit__(None, None, None)
+
+
+def sample(version, ok):
+    return RecordSample(
+        now_ms=SystemClock().now_ms(),
+        service='rota',
+        route='book',
+        version=version,
+        server=version,
+        elapsed_ms=5,
+        ok=ok,
+        cold=False,
+    )
+
+
+def test_first_share_reaches_all_daemons(fleet):
+    wait_for(lambda: all(daemon.share() for daemon in fleet))
+    assert sum(daemon.task.view().is_controller for daemon in fleet) == 1
+
+
+def test_veto_of_one_daemon_stops_all(fleet):
+    wait_for(lambda: all(daemon.share() for daemon in fleet))
+    for _ in range(60):
+        fleet[1].task.sample(sample('v1', ok=True))
+        fleet[1].task.sample(sample('v2', ok=False))
+    wait_for(lambda: not any(daemon.share() for daemon in fleet))
+    wait_for(lambda: fleet[0].task.view().states['move'].status == 'taken_back')
--- a/cowsliploom/rollout/__init__.py
+++ b/cowsliploom/rollout/__init__.py
@@ -1,1 +1,36 @@
-"""Package rollout of cowsliploom."""
+"""Version moves: share schedule, evidence, judgement, control and taking back."""
+
+from cowsliploom.rollout._control_messages import CallLease as CallLease
+from cowsliploom.rollout._control_messages import CandidateChanged as CandidateChanged
+from cowsliploom.rollout._control_messages import ControllerTick as ControllerTick
+from cowsliploom.rollout._control_messages import LeaseAnswered as LeaseAnswered
+from cowsliploom.rollout._control_messages import ReadState as ReadState
+from cowsliploom.rollout._control_messages import ShareHeard as ShareHeard
+from cowsliploom.rollout._control_messages import StateRead as StateRead
+from cowsliploom.rollout._control_messages import StateSwapped as StateSwapped
+from cowsliploom.rollout._control_messages import SwapState as SwapState
+from cowsliploom.rollout._controller import Controller as Controller
+from cowsliploom.rollout._evidence import Evidence as Evidence
+from cowsliploom.rollout._evidence import EvidenceError as EvidenceError
+from cowsliploom.rollout._evidence import decode_evidence as decode_evidence
+from cowsliploom.rollout._judge import EvidenceHeard as EvidenceHeard
+from cowsliploom.rollout._judge import Judge as Judge
+from cowsliploom.rollout._judge import JudgeTick as JudgeTick
+from cowsliploom.rollout._judge import MovesDeclared as MovesDeclared
+from cowsliploom.rollout._judge import VetoHeard as VetoHeard
+from cowsliploom.rollout._moves import AnnounceFact as AnnounceFact
+from cowsliploom.rollout._moves import BadKind as BadKind
+from cowsliploom.rollout._moves import Move as Move
+from cowsliploom.rollout._moves import MoveState as MoveState
+from cowsliploom.rollout._moves import MoveStatus as MoveStatus
+from cowsliploom.rollout._moves import ShareFact as ShareFact
+from cowsliploom.rollout._moves import Veto as Veto
+from cowsliploom.rollout._moves import declared_moves as declared_moves
+from cowsliploom.rollout._moves import share_fact as share_fact
+from cowsliploom.rollout._moves import shares as shares
+from cowsliploom.rollout._moves import veto_fact as veto_fact
+from cowsliploom.rollout._rollout import Rollout as Rollout
+from cowsliploom.rollout._schedule import Progress as Progress
+from cowsliploom.rollout._schedule import SHARES as SHARES
+from cowsliploom.rollout._schedule import is_step_due as is_step_due
+from cowsliploom.rollout._sequential import EProcess as EProcess
--- /dev/null
+++ b/cowsliploom/rollout/_control_messages.py
@@ -0,0 +1,101 @@
+"""Events that the controller of version moves takes and commands that it gives."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from cowsliploom.ports import Absent, Conflict, Swapped, Unanswered
+from cowsliploom.protocol import LeaseCall, LeaseResult, StoredValue
+from cowsliploom.rollout._judge import MovesDeclared, VetoHeard
+from cowsliploom.rollout._moves import AnnounceFact, MoveState
+
+
+@dataclass(frozen=True, slots=True)
+class CandidateChanged:
+    """Take whether this daemon is one of the few that seek the controller's lease."""
+
+    now_ms: float
+    is_candidate: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseAnswered:
+    """Take the store's answer to ``CallLease`` that was sent at ``sent_ms``."""
+
+    now_ms: float
+    sent_ms: float
+    answer: LeaseResult | Unanswered
+
+
+@dataclass(frozen=True, slots=True)
+class StateRead:
+    """Take the store's answer to ``ReadState``."""
+
+    now_ms: float
+    move: str
+    answer: StoredValue | Absent | Unanswered
+
+
+@dataclass(frozen=True, slots=True)
+class StateSwapped:
+    """Take the store's answer to ``SwapState``."""
+
+    now_ms: float
+    move: str
+    answer: Swapped | Conflict | Unanswered
+
+
+@dataclass(frozen=True, slots=True)
+class ShareHeard:
+    """Take a state that another daemon found in the store at ``version``."""
+
+    now_ms: float
+    move: str
+    state: MoveState
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerTick:
+    """Let time pass; ``samples`` counts the new versions' calls by move."""
+
+    now_ms: float
+    samples: Mapping[str, int]
+
+
+ControllerEvent = (
+    MovesDeclared
+    | CandidateChanged
+    | LeaseAnswered
+    | StateRead
+    | StateSwapped
+    | ShareHeard
+    | VetoHeard
+    | ControllerTick
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallLease:
+    """Acquire, renew or release the controller's lease."""
+
+    call: LeaseCall
+    sent_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadState:
+    """Read a move's state from the store."""
+
+    move: str
+
+
+@dataclass(frozen=True, slots=True)
+class SwapState:
+    """Write a move's state if its version is the expected one."""
+
+    move: str
+    text: str
+    expected_version: int
+
+
+ControllerCommand = CallLease | ReadState | SwapState | AnnounceFact
--- /dev/null
+++ b/cowsliploom/rollout/_leadership.py
@@ -0,0 +1,73 @@
+"""The controller's lease as its holder sees it."""
+
+import math
+
+from cowsliploom.ports import Unanswered
+from cowsliploom.protocol import LeaseCall, LeaseResult
+from cowsliploom.rollout._control_messages import CallLease, LeaseAnswered
+
+LEASE_NAME = 'version-moves'
+LEASE_TTL_MS = 8000
+LEASE_USABLE = 0.8  # of the life; the rest covers clocks that run apart
+RENEW_MS = 2000
+CAMPAIGN_MS = 4000  # between tries to become the controller
+
+
+class Leadership:
+    """Hold the controller's lease, or try to get it.
+
+    Parameters
+    ----------
+    holder : str
+        Name and incarnation of the daemon.
+    """
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+        self.token = 0
+        self._until_ms = -math.inf
+        self._next_call_ms = -math.inf
+        self._is_open = False
+        self._store_lead_ms: float = 0
+
+    def is_held(self, now_ms: float) -> bool:
+        """Tell whether this daemon may act as the controller."""
+        return self.token > 0 and now_ms < self._until_ms
+
+    def store_ms(self, now_ms: float) -> float:
+        """Return the store's time, from its latest answer and the time since."""
+        return now_ms + self._store_lead_ms
+
+    def step_down(self) -> None:
+        """Stop acting, as a controller with a later token has written."""
+        self.token = 0
+        self._until_ms = -math.inf
+
+    def next_call(self, now_ms: float) -> tuple[CallLease, ...]:
+        """Return the call on the lease that is due."""
+        if self._is_open or now_ms < self._next_call_ms:
+            return ()
+        self._is_open = True
+        call = LeaseCall(self.holder, LEASE_TTL_MS, self.token)
+        return (CallLease(call, now_ms),)
+
+    def take(self, answered: LeaseAnswered) -> bool:
+        """Take the store's answer; return whether the lease was newly won."""
+        self._is_open = False
+        answer = answered.answer
+        if isinstance(answer, Unanswered):
+            self._next_call_ms = answered.now_ms + RENEW_MS
+            return False
+        if answer.holder != self.holder:
+            self.step_down()
+            self._next_call_ms = answered.now_ms + CAMPAIGN_MS
+            return False
+        return self._hold(answered, answer)
+
+    def _hold(self, answered: LeaseAnswered, granted: LeaseResult) -> bool:
+        is_new = granted.token != self.token
+        self.token = granted.token
+        self._until_ms = answered.sent_ms + LEASE_TTL_MS * LEASE_USABLE
+        self._next_call_ms = answered.sent_ms + RENEW_MS
+        self._store_lead_ms = granted.store_ms - answered.now_ms
+        return is_new
--- /dev/null
+++ b/cowsliploom/rollout/_move_trial.py
@@ -0,0 +1,109 @@
+"""All evidence on one attempt of a version move."""
+
+from dataclasses import replace
+
+from cowsliploom.rollout._baseline import LatencyThreshold
+from cowsliploom.rollout._cold import ColdServers
+from cowsliploom.rollout._counts import Counts
+from cowsliploom.rollout._evidence import OLD_VERSION, Evidence, RowKey
+from cowsliploom.rollout._kind_test import Finding
+from cowsliploom.rollout._moves import Move
+from cowsliploom.rollout._route_trial import RouteTrial
+from cowsliploom.routing import RecordSample
+
+MOVE_ALPHA = 1e-4  # chance of taking back a good version, over all daemons
+KINDS = 3  # errors, slowness and errors while cold are tested apart
+ROUTES_MAX = 64  # routes told apart; further ones are counted as one
+OTHER_ROUTES = 'others'
+SOURCES_MAX = 256  # daemons whose evidence is added up
+
+
+class MoveTrial:
+    """Judge one attempt of a move from this daemon's and others' counts.
+
+    Parameters
+    ----------
+    move : Move
+        Attempt that is judged.
+    """
+
+    def __init__(self, move: Move) -> None:
+        self.move = move
+        self.samples = 0
+        self.own_rows: dict[RowKey, Counts] = {}
+        self._routes: dict[str, RouteTrial] = {}
+        self._thresholds: dict[str, LatencyThreshold] = {}
+        self._cold = ColdServers()
+        self._heard: dict[str, Evidence] = {}
+
+    def take_sample(self, sample: RecordSample) -> None:
+        """Take a call of this daemon's own."""
+        route = self._slot(sample.route)
+        threshold = self._thresholds.setdefault(route, LatencyThreshold())
+        if sample.version == self.move.to_version:
+            self._take_own(RowKey(route, sample.server), self._count(sample))
+        elif sample.version == self.move.from_version and not sample.cold:
+            counts = _count_warm(sample, threshold)
+            self._take_own(RowKey(route, OLD_VERSION), counts)
+            if sample.ok:
+                threshold.record(sample.elapsed_ms)
+
+    def take_evidence(self, evidence: Evidence) -> None:
+        """Take another daemon's counts; only what they grew by is new."""
+        before = self._heard.get(evidence.daemon)
+        if before is None and len(self._heard) >= SOURCES_MAX:
+            return
+        known = {}
+        if before is not None and before.incarnation == evidence.incarnation:
+            known = dict(before.rows)
+        for key, counts in evidence.rows.items():
+            growth = counts - known.get(key, Counts())
+            if growth.is_growth():
+                known[key] = counts
+                self._take(key, growth)
+        self._heard[evidence.daemon] = replace(evidence, rows=known)
+
+    def find(self, now_ms: float, entries: int) -> Finding | None:
+        """Test the calls since the last time; return why the version is bad."""
+        for number, route in enumerate(tuple(self._routes.values()), start=1):
+            route.close_block(now_ms)
+            alpha = MOVE_ALPHA / (entries * KINDS * number * (number + 1))
+            finding = route.find(now_ms, self.move.new_servers, 1 / alpha)
+            if finding is not None:
+                return finding
+        return None
+
+    def _count(self, sample: RecordSample) -> Counts:
+        if self._cold.is_excused(sample.now_ms, sample.server, cold=sample.cold):
+            return Counts(cold_calls=1, cold_errors=int(not sample.ok))
+        return _count_warm(sample, self._thresholds[self._slot(sample.route)])
+
+    def _take_own(self, key: RowKey, counts: Counts) -> None:
+        self.own_rows[key] = self.own_rows.get(key, Counts()) + counts
+        self._take(key, counts)
+
+    def _take(self, key: RowKey, counts: Counts) -> None:
+        route = self._slot(key.route)
+        trial = self._routes.setdefault(route, RouteTrial(route))
+        if key.server == OLD_VERSION:
+            trial.add_old(counts)
+            return
+        trial.add_new(key.server, counts)
+        self.samples += counts.calls + counts.cold_calls
+
+    def _slot(self, route: str) -> str:
+        if route in self._routes or len(self._routes) < ROUTES_MAX:
+            return route
+        return OTHER_ROUTES
+
+
+def _count_warm(sample: RecordSample, threshold: LatencyThreshold) -> Counts:
+    """Count a call; a failed one is slow too, so failing fast is no merit."""
+    is_slow = not sample.ok or threshold.is_slow(sample.elapsed_ms)
+    is_timed = threshold.is_known()
+    return Counts(
+        calls=1,
+        errors=int(not sample.ok),
+        timed=int(is_timed),
+        slow=int(is_timed and is_slow),
+    )
--- /dev/null
+++ b/cowsliploom/rollout/_moves.py
@@ -0,0 +1,231 @@
+"""Version moves, what is known of them, and the facts that daemons exchange."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import datetime
+from enum import StrEnum
+
+import msgspec
+
+from cowsliploom.resources import Configuration, ServiceSpec, VersionMoveSpec
+from cowsliploom.routing import VersionShare
+
+MS_PER_S = 1000
+
+
+class MoveStatus(StrEnum):
+    """Name how far a version move is."""
+
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    TAKEN_BACK = 'taken_back'
+
+
+class BadKind(StrEnum):
+    """Name what was wrong with a version."""
+
+    ERRORS = 'errors'
+    SLOW = 'slow'
+    COLD_ERRORS = 'cold_errors'
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Describe one declared version move.
+
+    Parameters
+    ----------
+    name : str
+        Name of the resource.
+    service, from_version, to_version : str
+        Service and versions concerned.
+    generation : int
+        Attempt, raised by the operator after a move was taken back.
+    finish_by_ms : float
+        Time by which a good version has all the traffic, in milliseconds since
+        the epoch.
+    new_servers : int
+        Backend servers that run the new version; 0 when not known.
+    """
+
+    name: str
+    service: str
+    from_version: str
+    to_version: str
+    generation: int
+    finish_by_ms: float
+    new_servers: int = 0
+
+    def is_same_attempt(self, other: 'Move') -> bool:
+        """Tell whether evidence on the other move counts for this one."""
+        return self._attempt() == other._attempt()
+
+    def _attempt(self) -> tuple[str, str, str, str, int]:
+        versions = (self.from_version, self.to_version)
+        return (self.name, self.service, *versions, self.generation)
+
+
+@dataclass(frozen=True, slots=True)
+class MoveState:
+    """Hold the progress of a move as the store keeps it.
+
+    Parameters
+    ----------
+    generation : int
+        Attempt that the state belongs to.
+    to_version : str
+        New version.
+    status : MoveStatus
+        How far the move is.
+    step : int
+        Number of the current share, from 0 on.
+    share : float
+        Share of the new version, from 0 to 1.
+    started_ms, updated_ms : float
+        Times of the start and of the last step by the store's clock.
+    token : int
+        Fencing token of the controller that wrote the state.
+    reason : str
+        Why the move was taken back; empty otherwise.
+    """
+
+    generation: int
+    to_version: str
+    status: MoveStatus
+    step: int
+    share: float
+    started_ms: float
+    updated_ms: float
+    token: int
+    reason: str = ''
+
+    def belongs_to(self, move: Move) -> bool:
+        """Tell whether the state is of this attempt of a move."""
+        same_version = self.to_version == move.to_version
+        return same_version and self.generation == move.generation
+
+
+@dataclass(frozen=True, slots=True)
+class Veto:
+    """Forbid a version for one attempt of a move; never withdrawn.
+
+    Parameters
+    ----------
+    move : str
+        Name of the move.
+    service : str
+        Service concerned.
+    to_version : str
+        Version that is bad.
+    generation : int
+        Attempt that is vetoed.
+    reason : BadKind
+        What was wrong.
+    evidence : str
+        Route, counts and rates behind the veto, for operators.
+    """
+
+    move: str
+    service: str
+    to_version: str
+    generation: int
+    reason: BadKind
+    evidence: str
+
+    def forbids(self, move: Move) -> bool:
+        """Tell whether the veto is on this attempt of a move."""
+        wanted = (move.name, move.to_version, move.generation)
+        return (self.move, self.to_version, self.generation) == wanted
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceFact:
+    """Tell all daemons a fact; a higher generation of a key replaces a lower."""
+
+    key: str
+    generation: int
+    blob: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ShareFact:
+    """Tell a move's state as it stands in the store."""
+
+    move: str
+    state: MoveState
+
+
+def declared_moves(configuration: Configuration) -> tuple[Move, ...]:
+    """Return the version moves of a configuration."""
+    services = {
+        resource.name: resource.spec
+        for resource in configuration.resources
+        if isinstance(resource.spec, ServiceSpec)
+    }
+    return tuple(
+        _move(resource.name, resource.spec, services.get(resource.spec.service))
+        for resource in configuration.resources
+        if isinstance(resource.spec, VersionMoveSpec)
+    )
+
+
+def _move(name: str, spec: VersionMoveSpec, service: ServiceSpec | None) -> Move:
+    finish_by = datetime.fromisoformat(spec.finish_by)
+    servers = service.servers if service else ()
+    versions = [server.version for server in servers]
+    return Move(
+        name=name,
+        service=spec.service,
+        from_version=spec.from_version,
+        to_version=spec.to_version,
+        generation=spec.generation,
+        finish_by_ms=finish_by.timestamp() * MS_PER_S,
+        new_servers=versions.count(spec.to_version),
+    )
+
+
+def shares(
+    moves: Iterable[Move], states: Mapping[str, MoveState], vetoes: Iterable[Veto]
+) -> tuple[VersionShare, ...]:
+    """Return each new version's share of its service's traffic.
+
+    A vetoed version has none, whatever the store says; so has one whose state
+    isn't known.
+
+    Examples
+    --------
+    >>> from cowsliploom.rollout import Move, shares
+    >>> move = Move('rota-2', 'van-rota', 'v1', 'v2', 1, finish_by_ms=60_000)
+    >>> shares([move], {}, [])[0].share
+    0
+    """
+    known = tuple(vetoes)
+    return tuple(
+        VersionShare(
+            service=move.service,
+            from_version=move.from_version,
+            to_version=move.to_version,
+            share=_share(move, states.get(move.name), known),
+        )
+        for move in moves
+    )
+
+
+def _share(move: Move, state: MoveState | None, vetoes: tuple[Veto, ...]) -> float:
+    if state is None or not state.belongs_to(move):
+        return 0
+    if any(veto.forbids(move) for veto in vetoes):
+        return 0
+    return state.share
+
+
+def veto_fact(veto: Veto) -> AnnounceFact:
+    """Return a veto as a fact."""
+    key = f'veto/{veto.move}/{veto.to_version}/{veto.generation}'
+    return AnnounceFact(key, 1, msgspec.json.encode(veto))
+
+
+def share_fact(move: str, state: MoveState, version: int) -> AnnounceFact:
+    """Return a state as a fact; the store's version orders the states of a move."""
+    blob = msgspec.json.encode(ShareFact(move, state))
+    return AnnounceFact(f'share/{move}', version, blob)
--- /dev/null
+++ b/cowsliploom/rollout/_rollout.py
@@ -0,0 +1,144 @@
+"""One daemon's part in all version moves, without input or output."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from cowsliploom.resources import Configuration
+from cowsliploom.rollout._control_messages import (
+    ControllerCommand,
+    ControllerEvent,
+    ControllerTick,
+    ShareHeard,
+)
+from cowsliploom.rollout._controller import Controller
+from cowsliploom.rollout._evidence import EvidenceError, decode_evidence
+from cowsliploom.rollout._judge import (
+    EvidenceHeard,
+    Judge,
+    JudgeTick,
+    MovesDeclared,
+    VetoHeard,
+)
+from cowsliploom.rollout._moves import (
+    Move,
+    MoveState,
+    ShareFact,
+    Veto,
+    declared_moves,
+    shares,
+    veto_fact,
+)
+from cowsliploom.routing import RecordSample, SharesChanged, VersionShare
+
+RolloutCommand = ControllerCommand | SharesChanged
+
+
+class Rollout:
+    """Join judge, controller and the facts heard from other daemons.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of this daemon.
+    incarnation : str
+        Differs for each start of the daemon.
+
+    Examples
+    --------
+    >>> from cowsliploom.resources import Configuration
+    >>> from cowsliploom.rollout import Rollout
+    >>> rollout = Rollout('entry-1', 'a')
+    >>> rollout.configure(0, Configuration(), entries=3)
+    (SharesChanged(now_ms=0, shares=()),)
+    """
+
+    def __init__(self, daemon: str, incarnation: str) -> None:
+        self._judge = Judge(daemon, incarnation)
+        self._controller = Controller(f'{daemon}#{incarnation}')
+        self._moves: tuple[Move, ...] = ()
+        self._shares: tuple[VersionShare, ...] | None = None
+        self._unreadable_facts = 0
+
+    def configure(
+        self, now_ms: float, configuration: Configuration, entries: int
+    ) -> tuple[RolloutCommand, ...]:
+        """Take a configuration and the number of live entry VMs."""
+        self._moves = declared_moves(configuration)
+        declared = MovesDeclared(now_ms, self._moves, entries)
+        self._judge.step(declared)
+        self._controller.step(declared)
+        for veto in self._controller.vetoes():
+            self._judge.step(VetoHeard(now_ms, veto))
+        return self._changed_shares(now_ms)
+
+    def sample(self, sample: RecordSample) -> None:
+        """Take a finished call."""
+        self._judge.step(sample)
+
+    def hear(
+        self, now_ms: float, key: str, generation: int, blob: bytes
+    ) -> tuple[RolloutCommand, ...]:
+        """Take a fact; what can't be read is counted and left out."""
+        try:
+            self._hear(now_ms, key, generation, blob)
+        except (msgspec.MsgspecError, EvidenceError):
+            self._unreadable_facts += 1
+        return self._changed_shares(now_ms)
+
+    def control(self, event: ControllerEvent) -> tuple[RolloutCommand, ...]:
+        """Take an event for the controller, such as an answer of the store."""
+        commands = self._controller.step(event)
+        return (*commands, *self._changed_shares(event.now_ms))
+
+    def tick(self, now_ms: float, wall_ms: float) -> tuple[RolloutCommand, ...]:
+        """Let time pass; call at least every 250 ms while a move is declared."""
+        commands: list[RolloutCommand] = []
+        for judged in self._judge.step(JudgeTick(now_ms, wall_ms)):
+            if isinstance(judged, Veto):
+                self._controller.step(VetoHeard(now_ms, judged))
+                commands.append(veto_fact(judged))
+            else:
+                commands.append(judged)
+        samples = {move.name: self._judge.samples(move.name) for move in self._moves}
+        commands.extend(self.control(ControllerTick(now_ms, samples)))
+        return tuple(commands)
+
+    def vetoes(self) -> tuple[Veto, ...]:
+        """Return the vetoes raised or heard."""
+        return self._controller.vetoes()
+
+    def states(self) -> Mapping[str, MoveState]:
+        """Return the latest known state of each move."""
+        return self._controller.states()
+
+    def is_controller(self, now_ms: float) -> bool:
+        """Tell whether this daemon moves the shares at present."""
+        return self._controller.is_leader(now_ms)
+
+    def unreadable_facts(self) -> int:
+        """Return how many facts could not be read."""
+        return self._unreadable_facts
+
+    def _hear(self, now_ms: float, key: str, generation: int, blob: bytes) -> None:
+        match key.partition('/')[0]:
+            case 'veto':
+                heard = VetoHeard(now_ms, msgspec.json.decode(blob, type=Veto))
+                self._judge.step(heard)
+                self._controller.step(heard)
+            case 'share':
+                fact = msgspec.json.decode(blob, type=ShareFact)
+                self._controller.step(
+                    ShareHeard(now_ms, fact.move, fact.state, generation)
+                )
+            case 'evidence':
+                self._judge.step(EvidenceHeard(now_ms, decode_evidence(blob)))
+
+    def _changed_shares(self, now_ms: float) -> tuple[RolloutCommand, ...]:
+        current = shares(
+            self._moves, self._controller.states(), self._controller.vetoes()
+        )
+        if current == self._shares:
+            return ()
+        self._shares = current
+        return (SharesChanged(now_ms, current),)
--- /dev/null
+++ b/cowsliploom/rollout/tests/test_sequential.py
@@ -0,0 +1,51 @@
+"""The sequential test: how often it errs and how fast it sees."""
+
+import random
+
+import pytest
+
+from cowsliploom.rollout import EProcess
+
+ALPHA = 0.05
+
+
+def play(rng: random.Random, rate: float, blocks: int, calls: int = 5):
+    """Yield the evidence after each block."""
+    process = EProcess()
+    for _ in range(blocks):
+        bad = sum(rng.random() < rate for _ in range(calls))
+        process = process.advance(calls, bad, allowed_rate=0.1)
+        yield process.e_value
+
+
+@pytest.mark.parametrize('rate', [0.01, 0.05, 0.1])
+def test_looking_at_each_block_rarely_condemns_an_allowed_rate(rate):
+    rng = random.Random(1)
+    trials = 300
+    alarms = sum(max(play(rng, rate, blocks=400)) >= 1 / ALPHA for _ in range(trials))
+    assert alarms <= ALPHA * trials
+
+
+@pytest.mark.parametrize(('rate', 'blocks'), [(1, 3), (0.5, 12), (0.3, 40), (0.2, 150)])
+def test_worse_rate_is_found(rate, blocks):
+    rng = random.Random(2)
+    found = sum(max(play(rng, rate, blocks)) >= 1 / ALPHA for _ in range(50))
+    assert found >= 45
+
+
+def test_late_change_is_found_soon():
+    process = EProcess()
+    for _ in range(2000):
+        process = process.advance(5, 0, allowed_rate=0.1)
+    blocks = 0
+    while process.e_value < 1 / ALPHA:
+        process = process.advance(5, 4, allowed_rate=0.1)
+        blocks += 1
+    assert blocks <= 4
+
+
+def test_evidence_stays_finite():
+    process = EProcess()
+    for _ in range(1000):
+        process = process.advance(1000, 1000, allowed_rate=0.01)
+    assert process.e_value < float('inf')
