--- a/cowsliploom/adapters/_backend_http.py
+++ b/cowsliploom/adapters/_backend_http.py
@@ -65,6 +65,7 @@
 
 CallOutcome = SearchReply | RunReply | CallRefusal | CallFailure
 OnOutcome = Callable[[str, str, CallOutcome], None]
+OnReport = Callable[[HealthReport | LoadReport | None], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,11 +256,9 @@
             lambda connection: _ignore(connection, body),
         )
 
-    def probe(
-        self, on_report: Callable[[HealthReport | LoadReport | None], None]
-    ) -> None:
-        """Fetch health and load; ``None`` stands for a probe without answer."""
-        self._control.put(lambda connection: _probe(connection, on_report))
+    def probe(self, on_report: OnReport, *, with_load: bool) -> None:
+        """Fetch health, and load if asked; ``None`` stands for no answer."""
+        self._control.put(lambda connection: _probe(connection, on_report, with_load))
 
     def _spawn(self, target: Callable[[], None]) -> None:
         threading.Thread(
@@ -308,9 +307,7 @@
         return None
 
 
-def _probe(
-    connection: _Connection,
-    on_report: Callable[[HealthReport | LoadReport | None], None],
-) -> None:
+def _probe(connection: _Connection, on_report: OnReport, with_load: bool) -> None:
     on_report(_fetch(connection, '/v1/health', HealthReport))
-    on_report(_fetch(connection, '/v1/load', LoadReport))
+    if with_load:
+        on_report(_fetch(connection, '/v1/load', LoadReport))
--- a/cowsliploom/adapters/_peers.py
+++ b/cowsliploom/adapters/_peers.py
@@ -111,7 +111,7 @@
         self.listen_address = listen_address
         self.address = ''
         self._service = _PeerService(answer_frame, answer_ask)
-        self._server = Server([self._service])
+        self._server: Server | None = None
 
     async def start(self) -> None:
         """Listen; ``address`` tells where from then on."""
@@ -120,13 +120,16 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         self.address = f'{host}:{listener.getsockname()[1]}'
+        # Built here, as grpclib binds a server to the loop that runs at its making.
+        self._server = Server([self._service])
         await self._server.start(sock=listener, backlog=BACKLOG)
 
     async def close(self) -> None:
         """Stop listening and end the open calls."""
         self._service.is_closed = True
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
 
 
 class PeerChannels:
--- a/cowsliploom/daemons/_entry_backends.py
+++ b/cowsliploom/daemons/_entry_backends.py
@@ -131,11 +131,13 @@
         if known is not None:
             known.retire_connections()
 
-    def probe(self, server: str) -> None:
-        """Fetch health and load of a backend server."""
+    def probe(self, server: str, *, with_load: bool) -> None:
+        """Fetch the health of a backend server, and its load if asked."""
         known = self._servers.get(server)
         if known is not None:
-            known.probe(_ReportPost(server, self._post, self._clock))
+            known.probe(
+                _ReportPost(server, self._post, self._clock), with_load=with_load
+            )
 
     @property
     def names(self) -> tuple[str, ...]:
--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -74,7 +74,10 @@
             self._backends,
             self.clock,
             RouterOutputs(
-                self._take_sample, self._hub.take_applied, self._hub.take_health
+                self._take_sample,
+                self._hub.take_applied,
+                self._hub.take_probe,
+                self._hub.take_refusal,
             ),
         )
         self._peers = PeerTask(
@@ -163,7 +166,7 @@
 
     def _probe(self) -> None:
         for server in self._hub.due_probes():
-            self._backends.probe(server)
+            self._backends.probe(server, with_load=self._hub.owns(server))
         if self._loop is not None:
             self._loop.call_later(PROBE_STEP_MS / MS_PER_S, self._probe)
 
@@ -172,6 +175,9 @@
             return Readiness(ready=False, reason='draining')
         if not self._router.configuration.revision:
             return Readiness(ready=False, reason='no configuration yet')
+        if self._hub.unprobed:
+            reason = f'{len(self._hub.unprobed)} backend servers not probed yet'
+            return Readiness(ready=False, reason=reason)
         return Readiness(ready=True)
 
     def _fleet(self) -> tuple[MemberStatus, ...]:
--- a/cowsliploom/daemons/_entry_http.py
+++ b/cowsliploom/daemons/_entry_http.py
@@ -2,7 +2,8 @@
 
 import secrets
 from collections.abc import Callable
-from concurrent.futures import Future, TimeoutError as FutureTimeoutError
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import TypeVar
--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -12,11 +12,13 @@
     FactHeard,
     Member,
     MembersChanged,
-    OwnershipChanged as NodeOwnershipChanged,
     Superseded,
     WatchedServer,
     chosen_watchers,
 )
+from cowsliploom.coordination import (
+    OwnershipChanged as NodeOwnershipChanged,
+)
 from cowsliploom.daemons._entry_config import ConfigurationWatch
 from cowsliploom.daemons._entry_loop import RouterTask
 from cowsliploom.daemons._entry_messages import ConfigurationOffered
@@ -24,7 +26,7 @@
 from cowsliploom.daemons._entry_vms import VmListReader
 from cowsliploom.daemons._peer_task import PeerEvent, PeerTask
 from cowsliploom.ports import Clock
-from cowsliploom.protocol import HealthReport, VmInfo, VmList, VmState
+from cowsliploom.protocol import HealthReport, RefusalReason, VmInfo, VmList, VmState
 from cowsliploom.resources import (
     Configuration,
     ServiceSpec,
@@ -32,14 +34,17 @@
     encode_configuration,
 )
 from cowsliploom.routing import (
+    CallRefused,
     EntriesCounted,
     HealthReported,
     OwnershipChanged,
+    ProbeFailed,
     ServersLeaving,
 )
 
 LEAVING_KEY = 'vms/leaving'
 HEALTH_PREFIX = 'health/'
+TELLING_REASONS = frozenset((RefusalReason.SNAPSHOT_GONE, RefusalReason.LEAVING))
 ENTRY_ROLE = 'entry'
 BACKEND_ROLE = 'backend'
 
@@ -92,9 +97,14 @@
     on_fact : callable
         Takes the facts that version moves are made of.
 
+    Attributes
+    ----------
+    unprobed : frozenset of str
+        Servers of the first configuration whose first probe has not ended.
+
     Notes
     -----
-    Every method but ``take_vm_list`` runs on the loop's thread.
+    Every method runs on the loop's thread.
     """
 
     def __init__(
@@ -105,7 +115,8 @@
         self._on_fact = on_fact
         self._log = PartLog('hub')
         self._schedule = ProbeSchedule()
-        self._owned: frozenset[str] = frozenset()
+        self.unprobed: frozenset[str] = frozenset()
+        self._probed_first = False
         self._leaving: frozenset[str] = frozenset()
         self._reports: dict[str, HealthReport] = {}
         self._generations: dict[str, int] = {}
@@ -119,6 +130,15 @@
         """Return the backend servers to probe now."""
         return self._schedule.due(self._clock.now_ms())
 
+    def owns(self, server: str) -> bool:
+        """Tell whether this entry VM owns a backend server."""
+        return self._schedule.owns(server)
+
+    def take_refusal(self, refused: CallRefused) -> None:
+        """Probe a server soon whose refusal tells of a change."""
+        if refused.refusal.reason in TELLING_REASONS:
+            self._schedule.hasten(refused.now_ms, refused.server)
+
     def take_peer_event(self, event: PeerEvent) -> None:
         """Take what the peers tell."""
         match event:
@@ -136,9 +156,11 @@
     def take_applied(self, configuration: Configuration) -> None:
         """Spread a configuration that came into force here."""
         servers = watched_servers(configuration)
-        self._schedule.declare(
-            self._clock.now_ms(), tuple(server.server for server in servers)
-        )
+        names = tuple(server.server for server in servers)
+        self._schedule.declare(self._clock.now_ms(), names)
+        if not self._probed_first:
+            self._probed_first = True
+            self.unprobed = frozenset(names)
         if self._wiring is not None:
             self._wiring.peers.watch_servers(servers)
             self._wiring.peers.announce_configuration(
@@ -150,13 +172,19 @@
             resources=len(configuration.resources),
         )
 
-    def take_health(self, reported: HealthReported) -> None:
+    def take_probe(self, probed: HealthReported | ProbeFailed) -> None:
+        """Take a server's health, or that it does not answer."""
+        self.unprobed -= {probed.server}
+        if isinstance(probed, HealthReported):
+            self._take_health(probed)
+
+    def _take_health(self, reported: HealthReported) -> None:
         """Tell the peers when a server that this entry VM owns has changed."""
         known = self._reports.get(reported.server)
         if known == reported.report:
             return
         self._reports[reported.server] = reported.report
-        if reported.server in self._owned:
+        if self.owns(reported.server):
             self._announce(
                 HEALTH_PREFIX + reported.server, msgspec.json.encode(reported.report)
             )
@@ -185,7 +213,6 @@
 
     def _take_ownership(self, owned: frozenset[str]) -> None:
         now_ms = self._clock.now_ms()
-        self._owned = owned
         self._schedule.own(now_ms, owned)
         if self._wiring is not None:
             self._wiring.router.take(OwnershipChanged(now_ms, owned))
@@ -213,7 +240,7 @@
     def _take_told_health(self, server: str, blob: bytes) -> None:
         report = msgspec.json.decode(blob, type=HealthReport)
         self._reports[server] = report
-        if self._wiring is not None and server not in self._owned:
+        if self._wiring is not None and not self.owns(server):
             now_ms = self._clock.now_ms()
             self._wiring.router.take(HealthReported(now_ms, server, report))
 
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -31,6 +31,7 @@
     Event,
     FailureStep,
     HealthReported,
+    ProbeFailed,
     QueryArrived,
     RecordSample,
     RefuseCaller,
@@ -73,13 +74,16 @@
         Takes the evidence on versions.
     on_applied : callable
         Takes each configuration that came into force.
-    on_health : callable
-        Takes each health report of a backend server.
+    on_probe : callable
+        Takes each health report of a backend server, and each failed probe.
+    on_refusal : callable
+        Takes each refusal of a backend server.
     """
 
     on_sample: Callable[[RecordSample], None]
     on_applied: Callable[[Configuration], None]
-    on_health: Callable[[HealthReported], None]
+    on_probe: Callable[[HealthReported | ProbeFailed], None]
+    on_refusal: Callable[[CallRefused], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,14 +163,21 @@
             case SamplesCounted():
                 self.metrics.count(message.name, message.amount)
             case SearchReplied() | RunReplied() | CallRefused() | CallFailed():
-                self._backends.ended(message.server)
-                self._step(message)
-            case HealthReported():
-                self._outputs.on_health(message)
+                self._take_outcome(message)
+            case HealthReported() | ProbeFailed():
+                self._outputs.on_probe(message)
                 self._step(message)
             case _:
                 self._step(message)
 
+    def _take_outcome(
+        self, outcome: SearchReplied | RunReplied | CallRefused | CallFailed
+    ) -> None:
+        self._backends.ended(outcome.server)
+        self._step(outcome)
+        if isinstance(outcome, CallRefused):
+            self._outputs.on_refusal(outcome)
+
     def _take_search(self, asked: SearchAsked) -> None:
         now_ms = self._clock.now_ms()
         timeout_ms = asked.timeout_ms or self._default_timeout_ms(asked.search)
--- a/cowsliploom/daemons/_entry_probe.py
+++ b/cowsliploom/daemons/_entry_probe.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 
 OWNED_INTERVAL_MS = 1000  # leaving servers must be known within 3 s
-OTHER_INTERVAL_MS = 8000  # the owner tells the others of changes by gossip
+OTHER_INTERVAL_MIN_MS = 2000  # as long as no owner is known, this finds them
+OTHER_SPACING_MS = 16  # keeps probes of others' servers under 3% of a core
 FIRST_SPREAD_MS = 10  # probes of new servers start this far apart
 PROBES_PER_STEP = 8  # bounds the burst after a pause of the process
 
@@ -13,8 +14,9 @@
 
     Notes
     -----
-    The owner of a server probes it often and the other entry VMs rarely, so that
-    probes on a server do not grow with the number of entry VMs.
+    The owner of a server probes it once a second and tells the others of changes
+    by gossip. The others probe at a pace bounded in all, so that neither the probes
+    of an entry VM nor those on a server grow without bound with the fleet.
 
     Examples
     --------
@@ -58,8 +60,14 @@
         )
         chosen = tuple(server for _, server in ready[:PROBES_PER_STEP])
         for server in chosen:
-            interval_ms = (
-                OWNED_INTERVAL_MS if server in self._owned else OTHER_INTERVAL_MS
-            )
-            self._due_ms[server] = now_ms + interval_ms
+            self._due_ms[server] = now_ms + self._interval_ms(server)
         return chosen
+
+    def owns(self, server: str) -> bool:
+        """Tell whether this entry VM owns a server."""
+        return server in self._owned
+
+    def _interval_ms(self, server: str) -> float:
+        if self.owns(server):
+            return OWNED_INTERVAL_MS
+        return max(OTHER_INTERVAL_MIN_MS, len(self._due_ms) * OTHER_SPACING_MS)
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -148,23 +148,27 @@
         return reply.status == 200 and not reply.body['coverage']['missing_services']
 
     def search(
-        self, entry: Daemon, text: str, timeout_ms: float = 1000, **headers: str
+        self,
+        entry: Daemon,
+        text: str,
+        timeout_ms: float = 1000,
+        request_id: str = '',
     ) -> Reply:
         """Send a search to an entry VM."""
         return self.post(
             entry.address,
             '/v1/searches/cellar-briefing',
             {'text': text},
-            {'Request-Timeout-Ms': str(timeout_ms), **headers},
+            {'Request-Timeout-Ms': str(timeout_ms), 'Request-Id': request_id},
         )
 
-    def book(self, entry: Daemon, payload: str, key: str, **headers: str) -> Reply:
+    def book(self, entry: Daemon, payload: str, key: str) -> Reply:
         """Send a booking to an entry VM."""
         return self.post(
             entry.address,
             '/v1/services/rota/requests',
             {'payload': payload},
-            {'Idempotency-Key': key, 'Caller': 'test', **headers},
+            {'Idempotency-Key': key, 'Caller': 'test'},
         )
 
     def get(self, address: str, path: str) -> Reply:
