Wire version moves into the entry daemon

Cause: the rollout task had nobody to feed it samples, members and facts. Weighed: a sample for each finished call at all times (ruled out: a queue put for each sub-request without need); samples pass only while a move is declared. Conclusion: shares reach the router, vetoes travel as facts.

--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -26,7 +26,8 @@
 from cowsliploom.daemons._entry_settings import EntrySettings, Policy
 from cowsliploom.daemons._entry_vms import VmListReader
 from cowsliploom.daemons._peer_task import PeerTask, PeerTaskSettings
-from cowsliploom.routing import NaiveRouter, RecordSample, Router, RouterSettings
+from cowsliploom.daemons._rollout_task import RolloutTask
+from cowsliploom.routing import NaiveRouter, Router, RouterSettings
 
 MS_PER_S = 1000
 SEED_BITS = 32
@@ -66,7 +67,7 @@
         )
         self._identity = f'{settings.name}#{self._incarnation}'
         self._draining = False
-        self._hub = EntryHub(self._member, self.clock, self._take_fact)
+        self._hub = EntryHub(self._member, self.clock)
         self._backends = Backends(self.clock)
         self._router = RouterTask(
             self._identity,
@@ -74,7 +75,7 @@
             self._backends,
             self.clock,
             RouterOutputs(
-                self._take_sample,
+                self._hub.take_sample,
                 self._hub.take_applied,
                 self._hub.take_probe,
                 self._hub.take_refusal,
@@ -105,22 +106,30 @@
     ) -> HttpServer:
         stack.enter_context(self._backends)
         self._router.start(loop)
-        watch_store = stack.enter_context(HttpStore(self.settings.store))
-        list_store = stack.enter_context(HttpStore(self.settings.store))
-        claim_store = stack.enter_context(HttpStore(self.settings.store))
         claims = stack.enter_context(
-            ClaimsTask(claim_store, self.clock, self._identity)
+            ClaimsTask(self._open_store(stack), self.clock, self._identity)
+        )
+        watch = ConfigurationWatch(
+            self._open_store(stack), self._router.post, self._seed
         )
-        watch = ConfigurationWatch(watch_store, self._router.post, self._seed)
         vms = VmListReader(
-            list_store,
+            self._open_store(stack),
             lambda listed: loop.call_soon_threadsafe(self._hub.take_vm_list, listed),
             self._seed,
         )
-        self._hub.connect(Wiring(self._router, self._peers, watch, vms))
+        rollout = RolloutTask(
+            self._open_store(stack),
+            self.clock,
+            self.settings.name,
+            str(self._incarnation),
+            self._router.post,
+            self._spread_fact,
+        )
+        self._hub.connect(Wiring(self._router, self._peers, watch, vms, rollout))
         await stack.enter_async_context(self._peers)
         stack.enter_context(watch)
         stack.enter_context(vms)
+        stack.enter_context(rollout)
         self._probe()
         api = CallerApi(
             self._router.post, claims, self.clock, EntryViews(self._tell, self._fleet)
@@ -132,6 +141,10 @@
         self.log.write('Started.', address=server.address, name=self.settings.name)
         return server
 
+    def _open_store(self, stack: AsyncExitStack) -> HttpStore:
+        """Open connections to the store for one task."""
+        return stack.enter_context(HttpStore(self.settings.store))
+
     def _listen(self, api: CallerApi) -> HttpServer:
         return HttpServer(
             self.settings.listen,
@@ -190,8 +203,7 @@
     def _tell_fleet(self, told: 'Future[tuple[MemberStatus, ...]]') -> None:
         told.set_result(self._peers.fleet())
 
-    def _take_sample(self, sample: RecordSample) -> None:
-        """Take evidence on a version."""
-
-    def _take_fact(self, fact: Fact) -> None:
-        """Take a fact on a version move."""
+    def _spread_fact(self, key: str, generation: int, blob: bytes) -> None:
+        fact = Fact(key, generation, blob)
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(self._peers.announce_fact, fact)
--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -1,6 +1,5 @@
 """What the entry daemon's tasks tell one another, on the loop's thread."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -25,10 +24,12 @@
 from cowsliploom.daemons._entry_probe import ProbeSchedule
 from cowsliploom.daemons._entry_vms import VmListReader
 from cowsliploom.daemons._peer_task import PeerEvent, PeerTask
+from cowsliploom.daemons._rollout_task import RolloutTask
 from cowsliploom.ports import Clock
 from cowsliploom.protocol import HealthReport, RefusalReason, VmInfo, VmList, VmState
 from cowsliploom.resources import (
     Configuration,
+    Kind,
     ServiceSpec,
     decode_configuration,
     encode_configuration,
@@ -39,6 +40,7 @@
     HealthReported,
     OwnershipChanged,
     ProbeFailed,
+    RecordSample,
     ServersLeaving,
 )
 
@@ -57,6 +59,7 @@
     peers: PeerTask
     watch: ConfigurationWatch
     vms: VmListReader
+    rollout: RolloutTask
 
 
 def watched_servers(configuration: Configuration) -> tuple[WatchedServer, ...]:
@@ -94,8 +97,6 @@
         This entry VM.
     clock : Clock
         Clock of the router's events.
-    on_fact : callable
-        Takes the facts that version moves are made of.
 
     Attributes
     ----------
@@ -107,12 +108,12 @@
     Every method runs on the loop's thread.
     """
 
-    def __init__(
-        self, member: Member, clock: Clock, on_fact: Callable[[Fact], None]
-    ) -> None:
+    def __init__(self, member: Member, clock: Clock) -> None:
         self._member = member
         self._clock = clock
-        self._on_fact = on_fact
+        self._entries = 1
+        self._configuration = Configuration()
+        self._moving = False
         self._log = PartLog('hub')
         self._schedule = ProbeSchedule()
         self.unprobed: frozenset[str] = frozenset()
@@ -161,6 +162,11 @@
         if not self._probed_first:
             self._probed_first = True
             self.unprobed = frozenset(names)
+        self._configuration = configuration
+        self._moving = any(
+            resource.kind is Kind.VERSION_MOVE for resource in configuration.resources
+        )
+        self._configure_rollout()
         if self._wiring is not None:
             self._wiring.peers.watch_servers(servers)
             self._wiring.peers.announce_configuration(
@@ -172,6 +178,11 @@
             resources=len(configuration.resources),
         )
 
+    def take_sample(self, sample: RecordSample) -> None:
+        """Pass evidence on while there is a version move."""
+        if self._moving and self._wiring is not None:
+            self._wiring.rollout.sample(sample)
+
     def take_probe(self, probed: HealthReported | ProbeFailed) -> None:
         """Take a server's health, or that it does not answer."""
         self.unprobed -= {probed.server}
@@ -209,8 +220,19 @@
         chosen = self._member.name in watchers
         self._wiring.watch.choose(watching=chosen)
         self._wiring.vms.choose(chosen=chosen)
+        self._wiring.rollout.candidate(is_candidate=chosen)
+        self._entries = entries
+        self._configure_rollout()
         self._log.write('Members changed.', live=len(live), watcher=chosen)
 
+    def _configure_rollout(self) -> None:
+        if self._wiring is not None:
+            self._wiring.rollout.configuration(self._configuration, self._entries)
+
+    def _tell_rollout_of(self, fact: Fact) -> None:
+        if self._wiring is not None:
+            self._wiring.rollout.fact_heard(fact.key, fact.generation, fact.blob)
+
     def _take_ownership(self, owned: frozenset[str]) -> None:
         now_ms = self._clock.now_ms()
         self._schedule.own(now_ms, owned)
@@ -235,7 +257,7 @@
                 names = msgspec.json.decode(fact.blob, type=list[str])
                 self._take_leaving(frozenset(names))
             case _:
-                self._on_fact(fact)
+                self._tell_rollout_of(fact)
 
     def _take_told_health(self, server: str, blob: bytes) -> None:
         report = msgspec.json.decode(blob, type=HealthReport)
