Hedge only true stragglers, and look again after a hedge

Cause, seen in a simulated loop of three routers (200 queries a second to 20 services of two servers): with 1% stragglers p99.9 was 80 ms although budget was left, since a query was not looked at again after its first hedge, and hedges found no room, since a load report 200 ms old narrowed limits to one call. Now the look is planned again, reports narrow only what is borrowed beyond the fair share and are smoothed, a hedge waits for twice the median as well as for the quantile, and a call may be cancelled and sent again. Ruled out: a retry at once after a shed; one trial sent four in 4 ms to a full server. A shed call now waits, paced and paid.

--- a/cowsliploom/routing/_choice.py
+++ b/cowsliploom/routing/_choice.py
@@ -22,10 +22,10 @@
         self._context = context
         self.table = SnapshotTable()
 
-    def choose(self, work: Work, now_ms: float) -> ServerTrack | None:
+    def choose(self, work: Work, now_ms: float, spare: int = 0) -> ServerTrack | None:
         """Return the server for one more call, or None when none has room."""
         service = work.service
-        ready = self._list_ready(work, now_ms)
+        ready = self._list_ready(work, now_ms, spare)
         move = service.move
         if move is None:
             return self._cheapest(ready, service.typical_ms, now_ms)
@@ -62,7 +62,7 @@
             if server.is_reachable(now_ms)
         )
 
-    def _list_ready(self, work: Work, now_ms: float) -> list[ServerTrack]:
+    def _list_ready(self, work: Work, now_ms: float, spare: int) -> list[ServerTrack]:
         snapshot = work.snapshot
         typical_ms = work.service.typical_ms
         fresh_ms = self._context.settings.load_fresh_ms
@@ -71,7 +71,7 @@
             server
             for server in work.service.servers
             if server.is_reachable(now_ms)
-            and server.has_room(now_ms, typical_ms, fresh_ms)
+            and server.has_room(now_ms, typical_ms, fresh_ms, spare)
             and server.name not in work.tried
             and (snapshot is None or holds(server.name, snapshot))
         ]
--- a/cowsliploom/routing/_dispatcher.py
+++ b/cowsliploom/routing/_dispatcher.py
@@ -2,9 +2,9 @@
 
 from cowsliploom.protocol import RunCall, SearchCall
 from cowsliploom.routing._admission import fits, note_expired, note_served
-from cowsliploom.routing._budget import earn, spend
 from cowsliploom.routing._choice import ReplicaChoice
 from cowsliploom.routing._context import Context
+from cowsliploom.routing._extra_load import ExtraLoad
 from cowsliploom.routing._messages import CancelSent, SendRun, SendSearch
 from cowsliploom.routing._outcomes import Outcomes
 from cowsliploom.routing._queue import Waiting
@@ -18,7 +18,7 @@
     Work,
 )
 
-OVERLOAD_MS = 100.0  # a shed call bars hedges and retries for this time
+HEDGE_SPARE = 1  # hedges are bounded by their budget, not by the limit alone
 RECENT_CALLS_MAX = 20_000  # ended calls remembered to tell late replies
 
 
@@ -42,6 +42,7 @@
         self._choice = choice
         self._outcomes = outcomes
         self._order = 0
+        self.extra = ExtraLoad(context)
         self._ended: dict[str, Call] = {}
         self.calls: dict[str, Call] = {}
         self.backlogged: dict[str, ServiceTrack] = {}
@@ -62,13 +63,38 @@
         self._enqueue(work, Attempt.RETRY)
 
     def hedge(self, work: Work, now_ms: float) -> bool:
-        """Send a second attempt if another replica has room; tell whether."""
-        server = self._choice.choose(work, now_ms)
+        """Send another attempt to another replica with room; tell whether.
+
+        Notes
+        -----
+        No such attempt while requests wait for the service: it would add load.
+        """
+        if self.extra.is_overloaded(work.service, now_ms):
+            return False
+        server = self._choice.choose(work, now_ms, HEDGE_SPARE)
         if server is None:
             return False
-        self.pay(work.service)
-        work.is_hedged = True
-        self.send(work, server, now_ms, Attempt.HEDGE)
+        self._send_hedge(work, server, now_ms)
+        return True
+
+    def resend(self, work: Work, now_ms: float) -> bool:
+        """Cancel the oldest call and send it again; tell whether.
+
+        Notes
+        -----
+        What held the call up may not hold up another, and the calls in flight do
+        not grow, so a queue behind the slow call is a reason for it, not against.
+        """
+        oldest = work.calls[0]
+        server = oldest.server
+        move = work.service.move
+        admitted = move is None or move.admits(server.version)
+        if not admitted or server.is_cold or not server.is_reachable(now_ms):
+            return False
+        if self.extra.is_shedding(work.service, now_ms):
+            return False
+        self.cancel(oldest, now_ms)
+        self._send_hedge(work, server, now_ms)
         return True
 
     def drain(self, service: ServiceTrack, now_ms: float) -> None:
@@ -132,32 +158,6 @@
         """Return an ended call once, for an event that came late."""
         return self._ended.pop(call_id, None)
 
-    def earn(self, services: list[ServiceTrack]) -> None:
-        """Earn budget for the first attempts of one query."""
-        context = self._context
-        context.budget = earn(context.budget, len(services))
-        for service in services:
-            service.budget = earn(service.budget, 1)
-
-    def pay(self, service: ServiceTrack) -> None:
-        """Pay for one hedge or retry."""
-        self._context.budget = spend(self._context.budget)
-        service.budget = spend(service.budget)
-
-    def may_add_load(self, work: Work, now_ms: float) -> bool:
-        """Tell whether a hedge or retry is allowed: budget, time and no overload."""
-        service = work.service
-        return (
-            self._context.budget.may_spend
-            and service.budget.may_spend
-            and not self.is_overloaded(service, now_ms)
-            and work.deadline_ms - now_ms >= service.typical_ms
-        )
-
-    def is_overloaded(self, service: ServiceTrack, now_ms: float) -> bool:
-        """Tell whether requests wait for the service or were shed just now."""
-        return len(service.queue) > 0 or now_ms - service.shed_ms < OVERLOAD_MS
-
     def wait_ms(self, service: ServiceTrack, urgency: int, now_ms: float) -> float:
         """Return the expected wait of a new request, in milliseconds."""
         parallel = self._choice.parallel_calls(service, now_ms)
@@ -174,6 +174,11 @@
         service.estimate = note_expired(service.estimate)
         return True
 
+    def _send_hedge(self, work: Work, server: ServerTrack, now_ms: float) -> None:
+        self.extra.pay(work.service)
+        work.hedges += 1
+        self.send(work, server, now_ms, Attempt.HEDGE)
+
     def _may_serve(self, work: Work, now_ms: float) -> bool:
         return self._choice.may_serve(work.service, work.snapshot, now_ms, work.tried)
 
--- a/cowsliploom/routing/_fleet.py
+++ b/cowsliploom/routing/_fleet.py
@@ -12,7 +12,7 @@
     Limiter,
     connection_share,
     narrow,
-    share_ceiling,
+    fair_share,
 )
 from cowsliploom.routing._messages import VersionShare
 from cowsliploom.routing._queue import UrgencyQueue
@@ -24,6 +24,7 @@
 
 PROBES_FAILED_MAX = 3  # one lost probe says little
 PAST_INCARNATIONS = 4  # late words of these are told from a new start
+REPORT_WEIGHT = 0.3  # one reading of a load that changes within ms says little
 FIRST_LIMIT = 0.5  # a server just believed to be warm is tested, paced
 
 
@@ -76,14 +77,15 @@
         self._entries = max(1, entries)
         allowance = self._context.settings.queue_allowance
         for server in self.servers.values():
-            before = server.ceiling
-            server.ceiling = min(
-                share_ceiling(server.server.slots, allowance, self._entries),
-                self.connection_allowance(server.name),
-            )
-            if server.limiter.limit == before:
-                server.limiter = replace(server.limiter, limit=server.ceiling)
-            server.limiter = narrow(server.limiter, server.ceiling)
+            slots = server.server.slots
+            connections = self.connection_allowance(server.name)
+            before = server.share
+            share = fair_share(slots, allowance, self._entries)
+            server.share = min(share, connections)
+            server.ceiling = min(max(share, slots), connections)
+            if server.limiter.limit >= before:
+                server.limiter = replace(server.limiter, limit=server.share)
+            server.limiter = narrow(server.limiter, server.share)
 
     def change_owned(self, servers: frozenset[str]) -> None:
         """Take the servers whose cold start this entry VM owns."""
@@ -124,13 +126,22 @@
         self.note_contact(server, now_ms)
 
     def take_load(self, report: LoadReport, now_ms: float) -> None:
-        """Take a server's load report; it only narrows, and only while fresh."""
+        """Take a server's load report; it only narrows, and only while fresh.
+
+        Notes
+        -----
+        It narrows what is borrowed beyond the fair share, never the share itself:
+        a report that lags or lies must not take a server out of use.
+        """
         server = self.servers.get(report.server)
         if server is None:
             return
         others_busy = max(0, report.busy - server.in_flight)
+        change = others_busy - server.reported_busy
+        server.reported_busy += change * REPORT_WEIGHT
         server.reported_ms = now_ms
-        server.reported_ceiling = max(1, report.slots - others_busy)
+        spare = report.slots + self._context.settings.queue_allowance
+        server.reported_ceiling = max(server.share, spare - server.reported_busy)
         server.reported_cold = report.cold_allowance
         server.connections_max = report.connections_max
 
@@ -210,7 +221,7 @@
 
     def believe_warm(self, server: ServerTrack) -> None:
         """Take a server as warm; one that others warmed up is tested, paced."""
-        first_limit = server.ceiling if server.is_owned else FIRST_LIMIT
+        first_limit = server.share if server.is_owned else FIRST_LIMIT
         server.warmth = Warm()
         server.limiter = Limiter(first_limit)
         self.generation += 1
--- a/cowsliploom/routing/_hedging.py
+++ b/cowsliploom/routing/_hedging.py
@@ -8,6 +8,9 @@
 
 TAIL_RATIO = 0.25  # more open sub-requests than this are load, not stragglers
 TAIL_MIN = 2  # small queries are in their tail from the start
+RESEND_RATIO = 1.5  # delays after which a call is sent again to the same server
+HEDGES_MAX = 2  # the hedge of one call in twenty is a straggler itself
+WAITING_LOOK_MS = 5.0  # a sub-request that waits in a queue may be sent by then
 AGAIN_MIN_MS = 1.0  # soonest second look where the budget was empty
 DEFAULT_DELAY_MS = 50.0  # until the service has samples
 
@@ -63,13 +66,15 @@
 
         Notes
         -----
-        With an empty budget the delay doubles, so that the tokens that come in go
-        to the slowest calls instead of the first ones past the quantile.
+        A quantile alone would hedge its whole rest also where all replies are
+        alike; the multiple of the median spares those, so that the budget is
+        there for true stragglers.
         """
         settings = self._context.settings
         quantile_ms = service.window.quantile(settings.hedge_quantile, DEFAULT_DELAY_MS)
-        stretch = 2 - self._context.budget.fill_ratio
-        return max(settings.hedge_floor_ms, quantile_ms * stretch)
+        median_ms = service.window.quantile(0.5, DEFAULT_DELAY_MS)
+        slow_ms = max(quantile_ms, median_ms * settings.hedge_median_ratio)
+        return max(settings.hedge_floor_ms, slow_ms)
 
     def _hedge(self, query: OpenQuery, now_ms: float) -> None:
         next_ms: list[float] = []
@@ -77,26 +82,34 @@
             due_ms = self._due_ms(work)
             if due_ms > now_ms:
                 next_ms.append(due_ms)
-            elif not self._try_hedge(work, now_ms):
-                next_ms.append(now_ms + _pause_ms(work))
-        for waiting in _waiting(query):
-            next_ms.append(now_ms + _pause_ms(waiting))
+            elif self._try_hedge(work, now_ms):
+                next_ms.append(self._due_ms(work))
+            else:
+                next_ms.append(now_ms + _pause_ms(work, now_ms))
+        if any(not waiting.calls for waiting in query.open_works.values()):
+            next_ms.append(now_ms + WAITING_LOOK_MS)
         if next_ms:
             self._look_at(query, min(next_ms))
             return
         self._watched.discard(query.name)
 
     def _try_hedge(self, work: Work, now_ms: float) -> bool:
-        if not self._dispatcher.may_add_load(work, now_ms):
+        dispatcher = self._dispatcher
+        if not dispatcher.extra.may_pay(work, now_ms):
+            return False
+        if dispatcher.hedge(work, now_ms):
+            return True
+        waited_ms = now_ms - work.calls[-1].sent_ms
+        if waited_ms < self.delay_ms(work.service) * RESEND_RATIO:
             return False
-        return self._dispatcher.hedge(work, now_ms)
+        return dispatcher.resend(work, now_ms)
 
     def _look_at(self, query: OpenQuery, due_ms: float) -> None:
         self._order += 1
         heappush(self._looks, (due_ms, self._order, query))
 
     def _due_ms(self, work: Work) -> float:
-        sent_ms = work.calls[0].sent_ms
+        sent_ms = work.calls[-1].sent_ms
         return sent_ms + self.delay_ms(work.service)
 
 
@@ -104,16 +117,19 @@
     return [
         work
         for work in query.open_works.values()
-        if not work.is_hedged and len(work.calls) == 1
+        if work.calls and work.hedges < HEDGES_MAX
     ]
 
 
-def _waiting(query: OpenQuery) -> list[Work]:
-    return [work for work in query.open_works.values() if not work.calls]
+def _pause_ms(work: Work, now_ms: float) -> float:
+    """Return the time to the next look, longer for calls that are older.
 
-
-def _pause_ms(work: Work) -> float:
-    return max(AGAIN_MIN_MS, work.service.typical_ms / 2)
+    Notes
+    -----
+    Where the budget does not pay for all, the tokens thus go to queries that can
+    still be answered in time, instead of to those that have waited longest.
+    """
+    return max(AGAIN_MIN_MS, (now_ms - work.calls[-1].sent_ms) / 2)
 
 
 def _count_open(query: OpenQuery) -> int:
--- a/cowsliploom/routing/_limiter.py
+++ b/cowsliploom/routing/_limiter.py
@@ -6,6 +6,7 @@
 FALL_RATIO = 0.5  # a shed or failed call halves the limit
 SLOW_FALL_RATIO = 0.75  # slowness is a weaker sign than a shed
 GROWTH = 0.1  # a whole call more takes at least ten successes
+BORROW_GROWTH = 0.02  # slots that other entry VMs leave idle are borrowed slowly
 FRACTION_MIN = 0.04  # smaller fractions would pace beyond any deadline
 
 
@@ -45,7 +46,7 @@
         return since_sent_ms * fraction >= typical_ms * (1 - fraction)
 
 
-def share_ceiling(slots: int, queue_allowance: int, entries: int) -> float:
+def fair_share(slots: int, queue_allowance: int, entries: int) -> float:
     """Return one entry VM's share of a server's slots and short queue.
 
     Parameters
@@ -64,12 +65,19 @@
     return max(1, (slots + queue_allowance) / max(1, entries))
 
 
-def grow(limiter: Limiter, ceiling: float) -> Limiter:
-    """Return the limiter after a success: a little higher, up to the ceiling."""
-    if limiter.limit >= ceiling:
+def grow(limiter: Limiter, share: float, ceiling: float) -> Limiter:
+    """Return the limiter after a success: a little higher, up to the ceiling.
+
+    Notes
+    -----
+    Beyond the fair share it grows five times slower: what others leave idle is
+    borrowed carefully, and given back at the first sign of overload.
+    """
+    limit = limiter.limit
+    if limit >= ceiling:
         return limiter
-    step = GROWTH / max(1, limiter.limit)
-    return Limiter(min(ceiling, limiter.limit + step), limiter.fell_ms)
+    growth = BORROW_GROWTH if limit >= share else GROWTH
+    return Limiter(min(ceiling, limit + growth / max(1, limit)), limiter.fell_ms)
 
 
 def fall(
--- a/cowsliploom/routing/_outcomes.py
+++ b/cowsliploom/routing/_outcomes.py
@@ -27,6 +27,7 @@
 BACKOFF_MIN_MS = 100.0  # a refused connection costs little, so test again soon
 BACKOFF_MAX_MS = 2000.0  # a server that is back must be found within seconds
 WRONG_SERVICE_MS = 5000.0  # an address that changed hands needs a configuration
+SHED_WEIGHT = 0.05  # some twenty calls decide whether a service sheds
 SILENT_RATIO = 3  # a timeout counts once the call took this many medians
 
 
@@ -59,6 +60,8 @@
         elapsed_ms = now_ms - call.sent_ms
         service.window = add_sample(service.window, elapsed_ms)
         server.view = observe_success(server.view, elapsed_ms, now_ms)
+        if service.shed_ratio:
+            service.shed_ratio *= 1 - SHED_WEIGHT
         if server.failures:
             server.failures = 0
             self._fleet.generation += 1
@@ -73,7 +76,7 @@
         elif server.view.is_slow:
             self._slow_down(call, now_ms)
         else:
-            server.limiter = grow(server.limiter, server.ceiling)
+            server.limiter = grow(server.limiter, server.share, server.ceiling)
 
     def fail(self, call: Call, now_ms: float) -> None:
         """Take an error of the server's own."""
@@ -136,7 +139,11 @@
         """Take a call that the server shed: the limit falls at once."""
         server = call.server
         self._context.count('sheds')
-        call.work.service.shed_ms = now_ms
+        service = call.work.service
+        service.shed_ms = now_ms
+        service.shed_ratio += (1 - service.shed_ratio) * SHED_WEIGHT
+        jitter = 0.5 + self._context.generator.random()
+        server.paused_until_ms = now_ms + service.typical_ms * jitter
         if server.limiter.limit <= LIMIT_MIN:
             self._context.record(call, now_ms, succeeded=False)
         server.limiter = fall(server.limiter, call.sent_ms, now_ms)
--- a/cowsliploom/routing/_queries.py
+++ b/cowsliploom/routing/_queries.py
@@ -138,7 +138,7 @@
     def _ask_all(self, query: OpenQuery, now_ms: float) -> None:
         services = self._fleet.services
         asked = [services[name] for name, _ in query.plan.shards if name in services]
-        self._dispatcher.earn(asked)
+        self._dispatcher.extra.earn(asked)
         urgency = query.search.urgency
         snapshot = query.plan.snapshot
         query.open_works = {
--- a/cowsliploom/routing/_query_calls.py
+++ b/cowsliploom/routing/_query_calls.py
@@ -9,6 +9,7 @@
 from cowsliploom.routing._queries import Queries
 from cowsliploom.routing._tracks import Attempt, Call, OpenQuery, Work
 
+SHEDS_MAX = 2  # a sub-request shed more often meets an overload, not a burst
 ATTEMPTS_MAX = 4  # calls for one sub-request, the first included
 
 
@@ -88,10 +89,12 @@
             self._queries.lose(work, now_ms)
             return
         if attempt is Attempt.RETRY:
-            if not self._dispatcher.may_add_load(work, now_ms):
+            service = work.service
+            is_barred = self._dispatcher.extra.is_overloaded(service, now_ms)
+            if is_barred or not self._dispatcher.extra.may_pay(work, now_ms):
                 self._queries.lose(work, now_ms)
                 return
-            self._dispatcher.pay(work.service)
+            self._dispatcher.extra.pay(work.service)
         self._dispatcher.place(work, now_ms, attempt)
 
     def _react(self, call: Call, reason: RefusalReason, now_ms: float) -> None:
@@ -129,12 +132,13 @@
         work = call.work
         if work.is_done or work.calls:
             return
-        budget = self._context.budget
-        may_pay = budget.may_spend and work.service.budget.may_spend
-        if not self._context.settings.shed_requeue or not may_pay:
+        may_pay = self._dispatcher.extra.may_pay(work, now_ms)
+        work.sheds += 1
+        may_wait = self._context.settings.shed_requeue and work.sheds <= SHEDS_MAX
+        if not may_wait or not may_pay:
             self._queries.lose(work, now_ms)
             return
-        self._dispatcher.pay(work.service)
+        self._dispatcher.extra.pay(work.service)
         work.tried = tuple(name for name in work.tried if name != call.server.name)
         self._dispatcher.wait(work)
 
--- a/cowsliploom/routing/_settings.py
+++ b/cowsliploom/routing/_settings.py
@@ -14,6 +14,9 @@
         milliseconds; at most a tenth of the caller's time limit is taken.
     hedge_quantile : float, default=0.9
         Quantile of a service's own latency after which a call may be hedged.
+    hedge_median_ratio : float, default=2
+        Multiple of the service's median that a call must take as well before it
+        may be hedged.
     hedge_floor_ms : float, default=2
         Least wait before a hedge, in milliseconds.
     extra_load_ratio : float, default=0.05
@@ -48,6 +51,7 @@
 
     answer_margin_ms: float = 15
     hedge_quantile: float = 0.9
+    hedge_median_ratio: float = 2
     hedge_floor_ms: float = 2
     extra_load_ratio: float = 0.05
     service_extra_ratio: float = 0.25
--- a/cowsliploom/routing/_tracks.py
+++ b/cowsliploom/routing/_tracks.py
@@ -60,6 +60,7 @@
     local: bool
     warmth: Warmth
     limiter: Limiter
+    share: float = 1
     ceiling: float = 1
     preference: float = 1
     view: ServerView = ServerView()
@@ -77,9 +78,11 @@
     refused_connections: int = 0
     probes_failed: int = 0
     down_until_ms: float = NEVER_MS
+    paused_until_ms: float = NEVER_MS
     retired_ms: float = NEVER_MS
     reported_ms: float = NEVER_MS
     reported_ceiling: float = 1
+    reported_busy: float = 0
     reported_cold: int = 0
     connections_max: int = 0
 
@@ -104,10 +107,21 @@
             return False
         return self.is_owned or not self.is_cold
 
-    def has_room(self, now_ms: float, typical_ms: float, fresh_ms: float) -> bool:
-        """Tell whether a reachable server bears one more call now."""
+    def has_room(
+        self, now_ms: float, typical_ms: float, fresh_ms: float, spare: int = 0
+    ) -> bool:
+        """Tell whether a reachable server bears one more call now.
+
+        Parameters
+        ----------
+        now_ms, typical_ms, fresh_ms : float
+            Time, the service's median and the age of a fresh report, in
+            milliseconds.
+        spare : int, default=0
+            Calls beyond the adaptive limit; hedges, which are few, may take one.
+        """
         in_flight = self.in_flight
-        if self.failures and in_flight:
+        if now_ms < self.paused_until_ms or (self.failures and in_flight):
             return False  # after failures one call at a time tests the server
         is_fresh = now_ms - self.reported_ms <= fresh_ms
         warmth = self.warmth
@@ -116,7 +130,11 @@
             return in_flight < cold_allowance(warmth, self.is_owned, reported)
         if is_fresh and in_flight >= self.reported_ceiling:
             return False
-        return self.limiter.allows(in_flight, now_ms - self.sent_ms, typical_ms)
+        since_ms = now_ms - self.sent_ms
+        if self.limiter.allows(in_flight, since_ms, typical_ms):
+            return True
+        whole = int(self.limiter.limit)
+        return spare > 0 and whole > 0 and in_flight < whole + spare
 
 
 @dataclass(slots=True, eq=False)
@@ -141,6 +159,7 @@
     move: ShareCounter | None = None
     estimate: WaitEstimate = WaitEstimate()
     shed_ms: float = NEVER_MS
+    shed_ratio: float = 0
 
     @property
     def typical_ms(self) -> float:
@@ -230,7 +249,8 @@
     attempt: Attempt = Attempt.FIRST
     tried: tuple[str, ...] = ()
     calls: list['Call'] = field(default_factory=list)
-    is_hedged: bool = False
+    hedges: int = 0
+    sheds: int = 0
     is_done: bool = False
 
 
--- /dev/null
+++ b/cowsliploom/routing/tests/loop.py
@@ -0,0 +1,221 @@
+"""Event loop in simulated milliseconds: entry VMs' routers against fake servers."""
+
+import itertools
+import random
+from dataclasses import dataclass, field, replace
+from heapq import heappop, heappush
+
+from cowsliploom.protocol import Ran
+from cowsliploom.routing import (
+    AnswerQuery,
+    AnswerRun,
+    CallFailed,
+    CancelSent,
+    ConfigurationApplied,
+    EntriesCounted,
+    FailureStep,
+    HealthReported,
+    LoadReported,
+    OwnershipChanged,
+    QueryArrived,
+    RefuseCaller,
+    RetireConnections,
+    RunArrived,
+    SendRun,
+    SendSearch,
+    Tick,
+)
+from cowsliploom.routing.tests import samples
+from cowsliploom.routing.tests.fake_server import FakeServer, Wire
+
+TICK_MS = 5.0
+PROBE_MS = 200.0
+LOCAL_MS = 0.25
+REMOTE_MS = 1.5
+
+
+@dataclass
+class Entry:
+    """Keep one router and what its callers got."""
+
+    router: object
+    data_centre: str
+    is_ticking: bool = False
+    sub_requests: int = 0
+    answers: dict[str, object] = field(default_factory=dict)
+    refusals: dict[str, object] = field(default_factory=dict)
+    retired: list[object] = field(default_factory=list)
+    samples: list[object] = field(default_factory=list)
+
+
+class Loop:
+    """Run entries and servers until the simulated time is up."""
+
+    def __init__(self, routers, services=20, replicas=2, seed=1, slots=2, **options):
+        self.now_ms = float()
+        self.rng = random.Random(seed)
+        self.arrived = {}
+        self.open_calls = set()
+        self._events = []
+        self._order = itertools.count()
+        self.wire = Wire(self)
+        self.entries = [Entry(router, router.data_centre) for router in routers]
+        self.servers = {}
+        for index, replica in itertools.product(range(services), range(replicas)):
+            rng = random.Random(f'{seed}/{index}/{replica}')
+            server = FakeServer(index, replica, services, rng, slots=slots, **options)
+            self.servers[server.name] = server
+        self.configuration = samples.make_configuration(services, replicas, slots)
+        self._start()
+
+    def at(self, time_ms, action, *arguments):
+        heappush(self._events, (time_ms, next(self._order), action, arguments))
+
+    def run(self, until_ms):
+        while self._events and self._events[0][0] <= until_ms:
+            planned = heappop(self._events)
+            self.now_ms = planned[0]
+            planned[2](*planned[3])
+        self.now_ms = until_ms
+
+    def give(self, entry, event):
+        for command in entry.router.step(event):
+            self._execute(entry, command)
+        if entry.is_ticking or entry.router.idle:
+            return
+        entry.is_ticking = True
+        self.at(self.now_ms + TICK_MS, self._tick, entry)
+
+    def give_all(self, make_event):
+        for entry in self.entries:
+            self.give(entry, make_event(entry))
+
+    def arrive(self, entry, query_id, search='briefing', limit_ms=200.0):
+        self.arrived[query_id] = (self.now_ms, search)
+        deadline_ms = self.now_ms + limit_ms
+        event = QueryArrived(self.now_ms, query_id, search, 'tap', 'c', deadline_ms)
+        self.give(entry, event)
+
+    def arrive_run(self, entry, run_id, service='s0', limit_ms=200.0):
+        self.arrived[run_id] = (self.now_ms, 'run')
+        deadline_ms = self.now_ms + limit_ms
+        event = RunArrived(self.now_ms, run_id, service, 'van', 'c', deadline_ms)
+        self.give(entry, event)
+
+    def plan_arrivals(self, per_second, from_ms, until_ms, searches=('briefing',)):
+        """Plan seeded Poisson arrivals over all entries in turn."""
+        time_ms = from_ms
+        for number in itertools.count():
+            time_ms += self.rng.expovariate(per_second / 1000)
+            if time_ms >= until_ms:
+                return
+            entry = self.entries[number % len(self.entries)]
+            search = searches[number % len(searches)]
+            self.at(time_ms, self.arrive, entry, f'q{from_ms:.0f}-{number}', search)
+
+    def _start(self):
+        names = sorted(self.servers)
+        for position, entry in enumerate(self.entries):
+            owned = frozenset(names[position :: len(self.entries)])
+            self.give(entry, ConfigurationApplied(0, self.configuration))
+            if len(self.entries) > 1 or hasattr(entry.router, 'due_ms'):
+                self.give(entry, EntriesCounted(0, len(self.entries)))
+                self.give(entry, OwnershipChanged(0, owned))
+        self._probe()
+
+    def _probe(self):
+        for server in self.servers.values():
+            if server.is_dead:
+                continue
+            health = server.health()
+            load = server.load()
+            for entry in self.entries:
+                self.give(entry, HealthReported(self.now_ms, server.name, health))
+                self.give(entry, LoadReported(self.now_ms, server.name, load))
+        self.at(self.now_ms + PROBE_MS, self._probe)
+
+    def _tick(self, entry):
+        entry.is_ticking = False
+        self.give(entry, Tick(self.now_ms))
+
+    def _execute(self, entry, command):
+        match command:
+            case SendSearch() | SendRun():
+                self._send(entry, command)
+            case CancelSent():
+                self.open_calls.discard(command.call_id)
+                delay_ms = self._delay_ms(entry, command.server)
+                self.at(self.now_ms + delay_ms, self.wire.cancel, command)
+            case AnswerQuery():
+                entry.answers[command.query_id] = (self.now_ms, command)
+            case AnswerRun():
+                entry.answers[command.run_id] = (self.now_ms, command)
+            case RefuseCaller():
+                entry.refusals[command.query_id] = (self.now_ms, command)
+            case RetireConnections():
+                entry.retired.append(command.server)
+                self.servers[command.server].silent_to.discard(id(entry))
+            case _:
+                entry.samples.append(command)
+
+    def _delay_ms(self, entry, server):
+        place = samples.DATA_CENTRES[self.servers[server].replica % 3]
+        return LOCAL_MS if place == entry.data_centre else REMOTE_MS
+
+    def _send(self, entry, command):
+        entry.sub_requests += 1
+        self.open_calls.add(command.call_id)
+        delay_ms = self._delay_ms(entry, command.server)
+        self.at(self.now_ms + delay_ms, self.wire.receive, entry, command)
+        self.at(command.deadline_ms, self._time_out, entry, command)
+
+    def _time_out(self, entry, command):
+        if command.call_id in self.open_calls:
+            self.open_calls.discard(command.call_id)
+            self.give(entry, self.failed(command, FailureStep.RECEIVE, True))
+
+    def failed(self, command, step, timed_out=False):
+        ran = Ran.NO if step is FailureStep.CONNECT else Ran.UNKNOWN
+        return CallFailed(
+            self.now_ms, command.call_id, command.server, step, ran, timed_out
+        )
+
+    def give_back(self, entry, command, event, after_ms):
+        delay_ms = self._delay_ms(entry, command.server) + after_ms
+        self.at(self.now_ms + delay_ms, self._deliver, entry, event)
+
+    def _deliver(self, entry, event):
+        if event.call_id in self.open_calls:
+            self.open_calls.discard(event.call_id)
+            self.give(entry, replace(event, now_ms=self.now_ms))
+
+
+def summarise(loop, from_ms=0):
+    """Return figures over the queries that arrived since a time."""
+    spent, ratios, late = [], [], 0
+    refused = 0
+    for entry in loop.entries:
+        for query_id, (time_ms, answer) in entry.answers.items():
+            arrived_ms, _ = loop.arrived[query_id]
+            if arrived_ms < from_ms or isinstance(answer, AnswerRun):
+                continue
+            spent.append(time_ms - arrived_ms)
+            covered = answer.coverage.covered_docs / answer.coverage.total_docs
+            ratios.append(covered)
+            late += covered < 1
+        arrivals = [loop.arrived[name][0] for name in entry.refusals]
+        refused += sum(arrived_ms >= from_ms for arrived_ms in arrivals)
+    spent.sort()
+    return {
+        'answers': len(spent),
+        'refused': refused,
+        'partial': late,
+        'p50_ms': _at(spent, 0.5),
+        'p99_ms': _at(spent, 0.99),
+        'p999_ms': _at(spent, 0.999),
+        'coverage': sum(ratios) / len(ratios) if ratios else 0,
+    }
+
+
+def _at(ordered, ratio):
+    return ordered[int(ratio * (len(ordered) - 1))] if ordered else 0
