--- a/cowsliploom/routing/_admission.py
+++ b/cowsliploom/routing/_admission.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-TIME_LEFT_RATIO = 0.7  # an estimate may be wrong by this much before it hurts
+TIME_LEFT_RATIO = 0.25  # the slowest of many services waits up to four times as long
+INTERVAL_WEIGHT = 0.1  # some ten departures decide
 RAISE_RATIO = 1.25  # an expired wait shows the estimate as too low
 LOWER_RATIO = 0.98  # a served wait lets it come down again, slowly
 PESSIMISM_MAX = 16  # no estimate is corrected further than this
@@ -20,20 +21,17 @@
 
     pessimism: float = 1
 
-    def wait_ms(self, ahead: int, parallel_calls: float, typical_ms: float) -> float:
+    def wait_ms(self, ahead: int, interval_ms: float) -> float:
         """Return the expected wait in a queue, in milliseconds.
 
         Parameters
         ----------
         ahead : int
             Waiting requests that will be served first.
-        parallel_calls : float
-            Calls that the service's servers take at once from this entry VM.
-        typical_ms : float
-            Typical latency of the service, in milliseconds.
+        interval_ms : float
+            Time between two requests that leave the queue, in milliseconds.
         """
-        rounds = (ahead + 1) / max(parallel_calls, 0.1)
-        return rounds * typical_ms * self.pessimism
+        return (ahead + 1) * interval_ms * self.pessimism
 
 
 def note_expired(estimate: WaitEstimate) -> WaitEstimate:
@@ -51,3 +49,33 @@
 def fits(wait_ms: float, typical_ms: float, left_ms: float) -> bool:
     """Tell whether wait and work fit into the time left."""
     return wait_ms + typical_ms <= left_ms * TIME_LEFT_RATIO
+
+
+@dataclass(frozen=True, slots=True)
+class Departures:
+    """Measure the time between requests that leave a queue.
+
+    Parameters
+    ----------
+    interval_ms : float
+        Moving average, in milliseconds; 0 until one was seen.
+    last_ms : float
+        Time of the last departure; 0 while nothing waits.
+    """
+
+    interval_ms: float = 0
+    last_ms: float = 0
+
+
+def note_departure(departures: Departures, now_ms: float) -> Departures:
+    """Return the measure after a request left the queue."""
+    interval_ms = departures.interval_ms
+    if departures.last_ms:
+        change_ms = now_ms - departures.last_ms - interval_ms
+        interval_ms += change_ms * INTERVAL_WEIGHT
+    return Departures(interval_ms, now_ms)
+
+
+def note_empty(departures: Departures) -> Departures:
+    """Return the measure after the queue ran empty: the next gap is no wait."""
+    return Departures(departures.interval_ms)
--- a/cowsliploom/routing/_choice.py
+++ b/cowsliploom/routing/_choice.py
@@ -54,14 +54,6 @@
             for server in service.servers
         )
 
-    def parallel_calls(self, service: ServiceTrack, now_ms: float) -> float:
-        """Return the calls that the service takes at once from this entry VM."""
-        return sum(
-            1 if server.is_cold else server.limiter.limit
-            for server in service.servers
-            if server.is_reachable(now_ms)
-        )
-
     def _list_ready(self, work: Work, now_ms: float, spare: int) -> list[ServerTrack]:
         snapshot = work.snapshot
         typical_ms = work.service.typical_ms
--- a/cowsliploom/routing/_counters.py
+++ b/cowsliploom/routing/_counters.py
@@ -17,6 +17,8 @@
         Attempts sent after a failure that may have cost the server work.
     reroutes : int
         Attempts sent after a refusal or failure that was truly not run.
+    requeues : int
+        Attempts sent, paced, after a server had shed the one before.
     restarts : int
         Queries begun again on a newer snapshot.
     partial_answers : int
@@ -40,6 +42,7 @@
     hedges: int = 0
     retries: int = 0
     reroutes: int = 0
+    requeues: int = 0
     restarts: int = 0
     partial_answers: int = 0
     late_replies: int = 0
--- a/cowsliploom/routing/_dispatcher.py
+++ b/cowsliploom/routing/_dispatcher.py
@@ -1,7 +1,13 @@
 """Sending of calls: at once where a server has room, else from a queue."""
 
 from cowsliploom.protocol import RunCall, SearchCall
-from cowsliploom.routing._admission import fits, note_expired, note_served
+from cowsliploom.routing._admission import (
+    WaitEstimate,
+    note_departure,
+    note_empty,
+    note_expired,
+    note_served,
+)
 from cowsliploom.routing._choice import ReplicaChoice
 from cowsliploom.routing._context import Context
 from cowsliploom.routing._extra_load import ExtraLoad
@@ -60,7 +66,7 @@
 
     def wait(self, work: Work) -> None:
         """Let a shed request wait for the limit that fell because of it."""
-        self._enqueue(work, Attempt.RETRY)
+        self._enqueue(work, Attempt.REQUEUE)
 
     def hedge(self, work: Work, now_ms: float) -> bool:
         """Send another attempt to another replica with room; tell whether.
@@ -110,8 +116,9 @@
             if server is None:
                 return
             queue.pop()
-            service.estimate = note_served(service.estimate)
+            _note_served(service, work.urgency, now_ms)
             self.send(work, server, now_ms, work.attempt)
+        service.departures = note_empty(service.departures)
         self.backlogged.pop(service.name, None)
 
     def drain_all(self, now_ms: float) -> None:
@@ -158,20 +165,22 @@
         """Return an ended call once, for an event that came late."""
         return self._ended.pop(call_id, None)
 
-    def wait_ms(self, service: ServiceTrack, urgency: int, now_ms: float) -> float:
+    def wait_ms(self, service: ServiceTrack, urgency: int) -> float:
         """Return the expected wait of a new request, in milliseconds."""
-        parallel = self._choice.parallel_calls(service, now_ms)
         ahead = service.queue.ahead_of(urgency)
-        return service.estimate.wait_ms(ahead, parallel, service.typical_ms)
+        interval_ms = service.departures.interval_ms or service.typical_ms
+        estimate = service.estimates.get(urgency, WaitEstimate())
+        return estimate.wait_ms(ahead, interval_ms)
 
     def _is_over(self, work: Work, now_ms: float) -> bool:
         """Tell whether a waiting request is answered, out of time or unservable."""
         if work.is_done:
             return True
         service = work.service
-        if fits(0, service.typical_ms, work.deadline_ms - now_ms):
+        if work.deadline_ms - now_ms >= service.typical_ms:
             return not self._may_serve(work, now_ms)
-        service.estimate = note_expired(service.estimate)
+        estimate = service.estimates.get(work.urgency, WaitEstimate())
+        service.estimates[work.urgency] = note_expired(estimate)
         return True
 
     def _send_hedge(self, work: Work, server: ServerTrack, now_ms: float) -> None:
@@ -193,6 +202,13 @@
             self._context.lost_works.append(given_up.work)
 
 
+def _note_served(service: ServiceTrack, urgency: int, now_ms: float) -> None:
+    service.departures = note_departure(service.departures, now_ms)
+    estimate = service.estimates.get(urgency)
+    if estimate is not None:
+        service.estimates[urgency] = note_served(estimate)
+
+
 def _command(call: Call, now_ms: float) -> SendSearch | SendRun:
     work = call.work
     parent = work.parent
--- a/cowsliploom/routing/_fleet.py
+++ b/cowsliploom/routing/_fleet.py
@@ -80,12 +80,12 @@
             slots = server.server.slots
             connections = self.connection_allowance(server.name)
             before = server.share
-            share = fair_share(slots, allowance, self._entries)
-            server.share = min(share, connections)
-            server.ceiling = min(max(share, slots), connections)
+            server.share = fair_share(slots, allowance, self._entries)
+            server.ceiling = min(max(server.share, slots), connections)
+            first_limit = min(max(1, server.share), connections)
             if server.limiter.limit >= before:
-                server.limiter = replace(server.limiter, limit=server.share)
-            server.limiter = narrow(server.limiter, server.share)
+                server.limiter = replace(server.limiter, limit=first_limit)
+            server.limiter = narrow(server.limiter, first_limit)
 
     def change_owned(self, servers: frozenset[str]) -> None:
         """Take the servers whose cold start this entry VM owns."""
@@ -141,7 +141,7 @@
         server.reported_busy += change * REPORT_WEIGHT
         server.reported_ms = now_ms
         spare = report.slots + self._context.settings.queue_allowance
-        server.reported_ceiling = max(server.share, spare - server.reported_busy)
+        server.reported_ceiling = max(1, server.share, spare - server.reported_busy)
         server.reported_cold = report.cold_allowance
         server.connections_max = report.connections_max
 
@@ -221,7 +221,7 @@
 
     def believe_warm(self, server: ServerTrack) -> None:
         """Take a server as warm; one that others warmed up is tested, paced."""
-        first_limit = server.share if server.is_owned else FIRST_LIMIT
+        first_limit = max(1, server.share) if server.is_owned else FIRST_LIMIT
         server.warmth = Warm()
         server.limiter = Limiter(first_limit)
         self.generation += 1
--- a/cowsliploom/routing/_limiter.py
+++ b/cowsliploom/routing/_limiter.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 LIMIT_MIN = 0.05  # below one the limit paces; a lower one would never test again
-FALL_RATIO = 0.5  # a shed or failed call halves the limit
-SLOW_FALL_RATIO = 0.75  # slowness is a weaker sign than a shed
+FALL_RATIO = 0.7  # a few sheds halve the limit; one may be another's burst
+SLOW_FALL_RATIO = 0.85  # slowness is a weaker sign than a shed
 GROWTH = 0.1  # a whole call more takes at least ten successes
-BORROW_GROWTH = 0.02  # slots that other entry VMs leave idle are borrowed slowly
+BORROW_GROWTH = 0.005  # slots that other entry VMs leave idle are borrowed slowly
 FRACTION_MIN = 0.04  # smaller fractions would pace beyond any deadline
 
 
@@ -59,10 +59,9 @@
     Returns
     -------
     float
-        Calls in flight, at least one: with more entry VMs than slots the server's
-        own refusals bring the limit below one.
+        Calls in flight; below one where there are more entry VMs than slots.
     """
-    return max(1, (slots + queue_allowance) / max(1, entries))
+    return (slots + queue_allowance) / max(1, entries)
 
 
 def grow(limiter: Limiter, share: float, ceiling: float) -> Limiter:
@@ -70,7 +69,7 @@
 
     Notes
     -----
-    Beyond the fair share it grows five times slower: what others leave idle is
+    Beyond the fair share it grows twenty times slower: what others leave idle is
     borrowed carefully, and given back at the first sign of overload.
     """
     limit = limiter.limit
--- a/cowsliploom/routing/_planner.py
+++ b/cowsliploom/routing/_planner.py
@@ -12,7 +12,7 @@
 from cowsliploom.routing._tracks import ServerTrack, Work
 
 PLAN_FRESH_MS = 100  # servers come back by time alone, too
-OVERLOADED_RATIO = 0.5  # a query that would miss more services than this is refused
+OVERLOADED_RATIO = 0.12  # a query that would miss more of its services is refused
 
 
 class Planner:
@@ -65,9 +65,7 @@
         service = work.service
         return self._choice.may_serve(service, work.snapshot, now_ms, work.tried)
 
-    def overload_wait_ms(
-        self, search: SearchSpec, left_ms: float, now_ms: float
-    ) -> float | None:
+    def overload_wait_ms(self, search: SearchSpec, left_ms: float) -> float | None:
         """Return the longest wait if too many services are overloaded, else None."""
         late = 0
         longest_ms = float()
@@ -75,7 +73,7 @@
         for service in self._dispatcher.backlogged.values():
             if service.name not in asked:
                 continue
-            wait_ms = self._dispatcher.wait_ms(service, search.urgency, now_ms)
+            wait_ms = self._dispatcher.wait_ms(service, search.urgency)
             longest_ms = max(longest_ms, wait_ms)
             late += not fits(wait_ms, service.typical_ms, left_ms)
         return longest_ms if late > len(asked) * OVERLOADED_RATIO else None
--- a/cowsliploom/routing/_queries.py
+++ b/cowsliploom/routing/_queries.py
@@ -72,7 +72,7 @@
         settings = self._context.settings
         deadline_ms = answer_deadline_ms(settings, event.now_ms, event.deadline_ms)
         left_ms = deadline_ms - event.now_ms
-        wait_ms = self._planner.overload_wait_ms(search, left_ms, event.now_ms)
+        wait_ms = self._planner.overload_wait_ms(search, left_ms)
         if len(self.open) >= settings.queries_max:
             wait_ms = left_ms
         if wait_ms is not None:
--- a/cowsliploom/routing/_query_calls.py
+++ b/cowsliploom/routing/_query_calls.py
@@ -9,7 +9,7 @@
 from cowsliploom.routing._queries import Queries
 from cowsliploom.routing._tracks import Attempt, Call, OpenQuery, Work
 
-SHEDS_MAX = 2  # a sub-request shed more often meets an overload, not a burst
+SHEDS_MAX = 5  # a sub-request shed more often meets an overload, not a burst
 ATTEMPTS_MAX = 4  # calls for one sub-request, the first included
 
 
@@ -128,17 +128,16 @@
         self._try_again(work, now_ms, Attempt.REROUTE)
 
     def _wait_again(self, call: Call, now_ms: float) -> None:
-        """Let a shed sub-request wait, paid from the budget for retries."""
+        """Let a shed sub-request wait for the limit that fell because of it."""
         work = call.work
         if work.is_done or work.calls:
             return
-        may_pay = self._dispatcher.extra.may_pay(work, now_ms)
         work.sheds += 1
         may_wait = self._context.settings.shed_requeue and work.sheds <= SHEDS_MAX
-        if not may_wait or not may_pay:
+        left_ms = work.deadline_ms - now_ms
+        if not may_wait or left_ms < work.service.typical_ms:
             self._queries.lose(work, now_ms)
             return
-        self._dispatcher.extra.pay(work.service)
         work.tried = tuple(name for name in work.tried if name != call.server.name)
         self._dispatcher.wait(work)
 
--- a/cowsliploom/routing/_queue.py
+++ b/cowsliploom/routing/_queue.py
@@ -4,7 +4,7 @@
 from heapq import heappop, heappush
 from typing import Generic, TypeVar
 
-STARVED_AFTER = 8  # a waiting class is passed over this often, then served once
+STARVED_AFTER = 16  # a waiting class is passed over this often, then served once
 
 Work = TypeVar('Work')
 
--- a/cowsliploom/routing/_runs.py
+++ b/cowsliploom/routing/_runs.py
@@ -87,7 +87,7 @@
         run = OpenRun(event, deadline_ms)
         work = Work(service, run, settings.run_urgency, deadline_ms)
         if len(service.queue):
-            wait_ms = self._dispatcher.wait_ms(service, work.urgency, event.now_ms)
+            wait_ms = self._dispatcher.wait_ms(service, work.urgency)
             if not fits(wait_ms, service.typical_ms, deadline_ms - event.now_ms):
                 self._refuse_start(event, RefusalCause.OVERLOADED, wait_ms)
                 return
--- a/cowsliploom/routing/_settings.py
+++ b/cowsliploom/routing/_settings.py
@@ -46,7 +46,7 @@
     run_urgency : int, default=7
         Urgency of non-idempotent requests, from 1 to 9.
     shed_requeue : bool, default=True
-        Let a shed sub-request wait again, paced and paid from the retry budget.
+        Let a shed sub-request wait in the queue again, paced by the lowered limit.
     """
 
     answer_margin_ms: float = 15
--- a/cowsliploom/routing/_tracks.py
+++ b/cowsliploom/routing/_tracks.py
@@ -11,7 +11,7 @@
 
 from cowsliploom.protocol import SearchReply
 from cowsliploom.resources import SearchSpec
-from cowsliploom.routing._admission import WaitEstimate
+from cowsliploom.routing._admission import Departures, WaitEstimate
 from cowsliploom.routing._budget import TokenBudget
 from cowsliploom.routing._catalog import CatalogServer
 from cowsliploom.routing._latency import LatencyWindow
@@ -35,6 +35,7 @@
     HEDGE = 'hedges'
     RETRY = 'retries'
     REROUTE = 'reroutes'
+    REQUEUE = 'requeues'
 
 
 @dataclass(slots=True, eq=False)
@@ -157,7 +158,8 @@
     servers: tuple[ServerTrack, ...] = ()
     window: LatencyWindow = LatencyWindow()
     move: ShareCounter | None = None
-    estimate: WaitEstimate = WaitEstimate()
+    estimates: dict[int, WaitEstimate] = field(default_factory=dict)
+    departures: Departures = Departures()
     shed_ms: float = NEVER_MS
     shed_ratio: float = 0
 
--- a/cowsliploom/routing/tests/loop.py
+++ b/cowsliploom/routing/tests/loop.py
@@ -110,7 +110,7 @@
             if time_ms >= until_ms:
                 return
             entry = self.entries[number % len(self.entries)]
-            search = searches[number % len(searches)]
+            search = searches[number // len(self.entries) % len(searches)]
             self.at(time_ms, self.arrive, entry, f'q{from_ms:.0f}-{number}', search)
 
     def _start(self):
