--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -78,7 +78,7 @@
                 self._hub.take_sample,
                 self._hub.take_applied,
                 self._hub.take_probe,
-                self._hub.take_refusal,
+                self._hub.health.take_refusal,
             ),
         )
         self._peers = PeerTask(
@@ -178,8 +178,9 @@
         stop.set()
 
     def _probe(self) -> None:
-        for server in self._hub.due_probes():
-            self._backends.probe(server, with_load=self._hub.owns(server))
+        health = self._hub.health
+        for server in health.due(self.clock.now_ms()):
+            self._backends.probe(server, with_load=health.owns(server))
         if self._loop is not None:
             self._loop.call_later(PROBE_STEP_MS / MS_PER_S, self._probe)
 
@@ -188,9 +189,8 @@
             return Readiness(ready=False, reason='draining')
         if not self._router.configuration.revision:
             return Readiness(ready=False, reason='no configuration yet')
-        if self._hub.unprobed:
-            reason = f'{len(self._hub.unprobed)} backend servers not probed yet'
-            return Readiness(ready=False, reason=reason)
+        if not self._hub.health.probed:
+            return Readiness(ready=False, reason='backend servers not probed yet')
         return Readiness(ready=True)
 
     def _fleet(self) -> tuple[MemberStatus, ...]:
--- /dev/null
+++ b/cowsliploom/daemons/_entry_health.py
@@ -0,0 +1,73 @@
+"""What an entry VM knows of its backend servers' health, and when to look."""
+
+import msgspec
+
+from cowsliploom.daemons._entry_probe import ProbeSchedule
+from cowsliploom.protocol import HealthReport, RefusalReason
+from cowsliploom.routing import CallRefused, HealthReported, ProbeFailed
+
+TELLING_REASONS = frozenset((RefusalReason.SNAPSHOT_GONE, RefusalReason.LEAVING))
+
+
+class HealthNews:
+    """Hold the latest reports and tell which of them the peers should hear.
+
+    Notes
+    -----
+    Owned by the loop's task; it reads no clock and sends nothing itself.
+    """
+
+    def __init__(self) -> None:
+        self._schedule = ProbeSchedule()
+        self._reports: dict[str, HealthReport] = {}
+        self._unprobed: frozenset[str] | None = None
+
+    @property
+    def probed(self) -> bool:
+        """Tell whether each server of the first configuration has been probed."""
+        return self._unprobed is not None and not self._unprobed
+
+    def declare(self, now_ms: float, servers: tuple[str, ...]) -> None:
+        """Take the declared backend servers."""
+        self._schedule.declare(now_ms, servers)
+        if self._unprobed is None:
+            self._unprobed = frozenset(servers)
+
+    def own(self, now_ms: float, servers: frozenset[str]) -> None:
+        """Take the backend servers that this entry VM owns."""
+        self._schedule.own(now_ms, servers)
+
+    def owns(self, server: str) -> bool:
+        """Tell whether this entry VM owns a backend server."""
+        return self._schedule.owns(server)
+
+    def due(self, now_ms: float) -> tuple[str, ...]:
+        """Return the backend servers to probe now."""
+        return self._schedule.due(now_ms)
+
+    def take_refusal(self, refused: CallRefused) -> None:
+        """Probe a server soon whose refusal tells of a change."""
+        if refused.refusal.reason in TELLING_REASONS:
+            self._schedule.hasten(refused.now_ms, refused.server)
+
+    def take_probe(self, probed: HealthReported | ProbeFailed) -> bytes | None:
+        """Take a probe's end and return what the peers should hear, if anything."""
+        if self._unprobed is not None:
+            self._unprobed -= {probed.server}
+        if isinstance(probed, HealthReported):
+            return self._news_of(probed.server, probed.report)
+        return None
+
+    def take_told(self, server: str, blob: bytes) -> HealthReport | None:
+        """Take a report that a peer has spread; ``None`` when own ones are better."""
+        report = msgspec.json.decode(blob, type=HealthReport)
+        if self.owns(server):
+            return None
+        self._reports[server] = report
+        return report
+
+    def _news_of(self, server: str, report: HealthReport) -> bytes | None:
+        if self._reports.get(server) == report:
+            return None
+        self._reports[server] = report
+        return msgspec.json.encode(report) if self.owns(server) else None
--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -19,14 +19,14 @@
     OwnershipChanged as NodeOwnershipChanged,
 )
 from cowsliploom.daemons._entry_config import ConfigurationWatch
+from cowsliploom.daemons._entry_health import HealthNews
 from cowsliploom.daemons._entry_loop import RouterTask
 from cowsliploom.daemons._entry_messages import ConfigurationOffered
-from cowsliploom.daemons._entry_probe import ProbeSchedule
 from cowsliploom.daemons._entry_vms import VmListReader
 from cowsliploom.daemons._peer_task import PeerEvent, PeerTask
 from cowsliploom.daemons._rollout_task import RolloutTask
 from cowsliploom.ports import Clock
-from cowsliploom.protocol import HealthReport, RefusalReason, VmInfo, VmList, VmState
+from cowsliploom.protocol import VmInfo, VmList, VmState
 from cowsliploom.resources import (
     Configuration,
     Kind,
@@ -35,7 +35,6 @@
     encode_configuration,
 )
 from cowsliploom.routing import (
-    CallRefused,
     EntriesCounted,
     HealthReported,
     OwnershipChanged,
@@ -46,7 +45,6 @@
 
 LEAVING_KEY = 'vms/leaving'
 HEALTH_PREFIX = 'health/'
-TELLING_REASONS = frozenset((RefusalReason.SNAPSHOT_GONE, RefusalReason.LEAVING))
 ENTRY_ROLE = 'entry'
 BACKEND_ROLE = 'backend'
 
@@ -98,11 +96,6 @@
     clock : Clock
         Clock of the router's events.
 
-    Attributes
-    ----------
-    unprobed : frozenset of str
-        Servers of the first configuration whose first probe has not ended.
-
     Notes
     -----
     Every method runs on the loop's thread.
@@ -115,11 +108,8 @@
         self._configuration = Configuration()
         self._moving = False
         self._log = PartLog('hub')
-        self._schedule = ProbeSchedule()
-        self.unprobed: frozenset[str] = frozenset()
-        self._probed_first = False
+        self.health = HealthNews()
         self._leaving: frozenset[str] = frozenset()
-        self._reports: dict[str, HealthReport] = {}
         self._generations: dict[str, int] = {}
         self._wiring: Wiring | None = None
 
@@ -127,19 +117,6 @@
         """Take the tasks to pass news between."""
         self._wiring = wiring
 
-    def due_probes(self) -> tuple[str, ...]:
-        """Return the backend servers to probe now."""
-        return self._schedule.due(self._clock.now_ms())
-
-    def owns(self, server: str) -> bool:
-        """Tell whether this entry VM owns a backend server."""
-        return self._schedule.owns(server)
-
-    def take_refusal(self, refused: CallRefused) -> None:
-        """Probe a server soon whose refusal tells of a change."""
-        if refused.refusal.reason in TELLING_REASONS:
-            self._schedule.hasten(refused.now_ms, refused.server)
-
     def take_peer_event(self, event: PeerEvent) -> None:
         """Take what the peers tell."""
         match event:
@@ -158,10 +135,7 @@
         """Spread a configuration that came into force here."""
         servers = watched_servers(configuration)
         names = tuple(server.server for server in servers)
-        self._schedule.declare(self._clock.now_ms(), names)
-        if not self._probed_first:
-            self._probed_first = True
-            self.unprobed = frozenset(names)
+        self.health.declare(self._clock.now_ms(), names)
         self._configuration = configuration
         self._moving = any(
             resource.kind is Kind.VERSION_MOVE for resource in configuration.resources
@@ -185,20 +159,9 @@
 
     def take_probe(self, probed: HealthReported | ProbeFailed) -> None:
         """Take a server's health, or that it does not answer."""
-        self.unprobed -= {probed.server}
-        if isinstance(probed, HealthReported):
-            self._take_health(probed)
-
-    def _take_health(self, reported: HealthReported) -> None:
-        """Tell the peers when a server that this entry VM owns has changed."""
-        known = self._reports.get(reported.server)
-        if known == reported.report:
-            return
-        self._reports[reported.server] = reported.report
-        if self.owns(reported.server):
-            self._announce(
-                HEALTH_PREFIX + reported.server, msgspec.json.encode(reported.report)
-            )
+        news = self.health.take_probe(probed)
+        if news is not None:
+            self._announce(HEALTH_PREFIX + probed.server, news)
 
     def take_vm_list(self, listed: VmList) -> None:
         """Take the platform's list of VMs."""
@@ -235,7 +198,7 @@
 
     def _take_ownership(self, owned: frozenset[str]) -> None:
         now_ms = self._clock.now_ms()
-        self._schedule.own(now_ms, owned)
+        self.health.own(now_ms, owned)
         if self._wiring is not None:
             self._wiring.router.take(OwnershipChanged(now_ms, owned))
 
@@ -260,9 +223,8 @@
                 self._tell_rollout_of(fact)
 
     def _take_told_health(self, server: str, blob: bytes) -> None:
-        report = msgspec.json.decode(blob, type=HealthReport)
-        self._reports[server] = report
-        if self._wiring is not None and not self.owns(server):
+        report = self.health.take_told(server, blob)
+        if report is not None and self._wiring is not None:
             now_ms = self._clock.now_ms()
             self._wiring.router.take(HealthReported(now_ms, server, report))
 
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -165,8 +165,8 @@
             case SearchReplied() | RunReplied() | CallRefused() | CallFailed():
                 self._take_outcome(message)
             case HealthReported() | ProbeFailed():
-                self._outputs.on_probe(message)
                 self._step(message)
+                self._outputs.on_probe(message)
             case _:
                 self._step(message)
 
