Refuse unknown fault switches, cut waiting watches in an outage

Cause: a read-through of the stand-ins for faults that would not happen. - A misspelt switch or setting was dropped in silence, so a test that set it would have passed for the wrong reason. Administration and servers files are now decoded strictly (the callers' side stays lenient). - A watch that was waiting when the store went down still delivered the next change; an outage now cuts it. - With existing connections silent, any later switch silenced the newer ones too; now only the change to this fault does.

--- a/cowsliploom/standins/_backend.py
+++ b/cowsliploom/standins/_backend.py
@@ -10,8 +10,8 @@
     CancelCall,
     RunCall,
     SearchCall,
-    SnapshotInfo,
 )
+from cowsliploom.standins._backend_admin import BackendAdmin
 from cowsliploom.standins._connections import CountedServer
 from cowsliploom.standins._http import (
     DropConnection,
@@ -30,8 +30,6 @@
     Ticket,
 )
 from cowsliploom.standins._server_settings import (
-    ColdTurn,
-    ServerFaults,
     ServerSettings,
     Silence,
 )
@@ -66,7 +64,7 @@
         self._lock = threading.Lock()
         self._wakes: dict[int, threading.Event] = {}
         self._replies = Replies(self.model)
-        self._silent_up_to = 0
+        self._admin = BackendAdmin(self.model, self.server, clock)
 
     def __enter__(self) -> 'Backend':
         """Listen, and serve in the background."""
@@ -116,9 +114,9 @@
         """Answer one request; raise `DropConnection` where a fault says so."""
         if request.path.startswith('/admin/'):
             with self._lock:
-                return self._answer_admin(request)
+                return self._admin.answer(request)
         self._drop_if_over_limit(request)
-        if self._is_silent(request):
+        if self._admin.is_silent(request.peer_port):
             self._go_silent(request)
         return self._answer_call(request)
 
@@ -138,43 +136,11 @@
                     return json_reply(self._reports.load(self.clock.now_ms()))
         return problem_reply(HTTPStatus.NOT_FOUND, request.path)
 
-    def _answer_admin(self, request: Request) -> Reply:
-        match (request.method, request.path):
-            case ('GET', '/admin/runlog'):
-                return json_reply(self.model.journal.run_log)
-            case ('GET', '/admin/counters'):
-                return json_reply(self.model.journal.counters)
-            case ('PUT', '/admin/faults'):
-                self.model.faults = decode_body(request, ServerFaults)
-                self._silent_up_to = self.server.last_number
-                return json_reply(self.model.faults)
-            case ('PUT', '/admin/snapshots'):
-                shape = tuple[SnapshotInfo, ...]
-                self.model.snapshots = decode_body(request, shape)
-                return json_reply(self.model.snapshots)
-            case ('PUT', '/admin/cold'):
-                turn = decode_body(request, ColdTurn)
-                fresh = uuid.uuid4().hex
-                kept = self.model.incarnation
-                self.model.turn_cold(fresh if turn.new_incarnation else kept)
-                return json_reply(turn)
-            case ('PUT', '/admin/leave'):
-                self.model.leave(self.clock.now_ms())
-                return json_reply(self.model.state)
-        return problem_reply(HTTPStatus.NOT_FOUND, request.path)
-
     def _drop_if_over_limit(self, request: Request) -> None:
         connection = self.server.connection_from(request.peer_port)
         if connection and not connection.counted:
             raise DropConnection
 
-    def _is_silent(self, request: Request) -> bool:
-        silent = self.model.faults.silent
-        if silent is not Silence.EXISTING:
-            return silent is Silence.ALL
-        connection = self.server.connection_from(request.peer_port)
-        return connection is not None and connection.number <= self._silent_up_to
-
     def _go_silent(self, request: Request) -> None:
         """Leave the connection open, and never answer on it."""
         connection = self.server.connection_from(request.peer_port)
--- a/cowsliploom/standins/_http.py
+++ b/cowsliploom/standins/_http.py
@@ -13,6 +13,8 @@
 import msgspec
 from cheroot import wsgi
 
+from cowsliploom.standins._strict import convert_strictly
+
 HOST_PORT = ':'
 HEADER_PREFIX = 'HTTP_'
 BODY_MAX = 4 * 1024 * 1024  # bytes; above the store's value limit with JSON escapes
@@ -103,6 +105,11 @@
     return msgspec.json.decode(request.body, type=shape)
 
 
+def decode_admin_body(request: Request, shape: type[Shape]) -> Shape:
+    """Decode a JSON body of administration; an unknown field is an error too."""
+    return convert_strictly(msgspec.json.decode(request.body), shape)
+
+
 class JsonApp:
     """Turn a typed handler into a WSGI application.
 
--- a/cowsliploom/standins/_platform.py
+++ b/cowsliploom/standins/_platform.py
@@ -20,6 +20,7 @@
     DropConnection,
     Reply,
     Request,
+    decode_admin_body,
     decode_body,
     json_reply,
     problem_reply,
@@ -91,11 +92,12 @@
         with self._changed:
             match (request.method, request.path):
                 case ('PUT', '/admin/vms'):
-                    vms = decode_body(request, VmList)
+                    vms = decode_admin_body(request, VmList)
                     self.state.put_vms(vms, self.clock.wall_ms())
                     return json_reply(vms)
                 case ('PUT', '/admin/faults'):
-                    self.faults = decode_body(request, StoreFaults)
+                    self.faults = decode_admin_body(request, StoreFaults)
+                    self._changed.notify_all()
                     return json_reply(self.faults)
                 case ('GET', '/admin/counters'):
                     return json_reply(self.counters)
@@ -133,12 +135,20 @@
         after_version = int(request.query['after_version'])
         wait_ms = min(float(request.query.get('wait_ms', '0')), WATCH_MAX_MS)
         self._count_waiting(1)
-        newer = self._changed.wait_for(
-            lambda: self.state.version(key) > after_version, wait_ms / MS_PER_S
+        self._changed.wait_for(
+            lambda: self.state.version(key) > after_version or self._is_down(key),
+            wait_ms / MS_PER_S,
         )
         self._count_waiting(-1)
+        if self._is_down(key):
+            raise DropConnection
+        newer = self.state.version(key) > after_version
         return self._read(key) if newer else Reply(HTTPStatus.NO_CONTENT)
 
+    def _is_down(self, key: str) -> bool:
+        """Tell whether an outage cuts a watch that waits."""
+        return fault_of(self.faults, CallKind.WATCH, key) is StoreMode.DOWN
+
     def _count_waiting(self, step: int) -> None:
         waiting = self.counters.watches_waiting + step
         self.counters = replace(
--- a/cowsliploom/standins/backend.py
+++ b/cowsliploom/standins/backend.py
@@ -19,6 +19,7 @@
     split_address,
     wait_for_signal,
 )
+from cowsliploom.standins._strict import convert_strictly
 from cowsliploom.standins._server_settings import ServerSettings, parse_snapshot
 
 POLL_S = 0.02
@@ -29,7 +30,8 @@
 
 def read_settings_file(path: Path) -> list[ServerSettings]:
     """Read a YAML or JSON list of server settings."""
-    settings = msgspec.yaml.decode(path.read_bytes(), type=list[ServerSettings])
+    raw = msgspec.yaml.decode(path.read_bytes())
+    settings = convert_strictly(raw, list[ServerSettings])
     if not settings:
         raise ValueError('servers-file: got an empty list, expected servers')
     return settings
--- a/cowsliploom/standins/tests/test_backend.py
+++ b/cowsliploom/standins/tests/test_backend.py
@@ -133,6 +133,16 @@
     assert backend.model.journal.counters.silenced == 1
 
 
+def test_another_fault_leaves_newer_connections_as_they_are(backend):
+    admin = Caller(backend)
+    admin.call('PUT', '/admin/faults', ServerFaults(silent=Silence.EXISTING))
+    fresh = Caller(backend)
+    assert fresh.search().status == 200
+    shedding = ServerFaults(silent=Silence.EXISTING, shed=True)
+    admin.call('PUT', '/admin/faults', shedding)
+    assert fresh.search().status == 429
+
+
 def test_silent_answers_run_first(backend):
     caller = Caller(backend)
     backend.model.faults = ServerFaults(silent=Silence.ANSWERS)
@@ -199,6 +209,9 @@
         ('POST', '/v1/search', {'request_id': 1}, 400),
         ('GET', '/v1/nothing', None, 404),
         ('PUT', '/admin/nothing', None, 404),
+        ('PUT', '/admin/faults', {'slow': [{'share': 1, 'factor': 9}]}, 200),
+        ('PUT', '/admin/faults', {'sheds': True}, 400),
+        ('PUT', '/admin/faults', {'slow': [{'shares': 1}]}, 400),
         ('PUT', '/admin/cold', {'new_incarnation': True}, 200),
         ('PUT', '/admin/leave', None, 200),
         ('GET', '/v1/health', None, 200),
--- a/cowsliploom/standins/tests/test_commands.py
+++ b/cowsliploom/standins/tests/test_commands.py
@@ -64,7 +64,12 @@
 
 @pytest.mark.parametrize(
     ('text', 'problem'),
-    [('[]', 'empty list'), ('- {server: a}', 'service'), ('- {server: 1}', 'server')],
+    [
+        ('[]', 'empty list'),
+        ('- {server: a}', 'service'),
+        ('- {server: 1}', 'server'),
+        ('- {server: a, service: a, slot: 3}', 'slot'),
+    ],
 )
 def test_wrong_servers_file_is_named(tmp_path, text, problem):
     path = tmp_path / 'servers.yaml'
--- a/cowsliploom/standins/tests/test_platform.py
+++ b/cowsliploom/standins/tests/test_platform.py
@@ -49,6 +49,22 @@
     assert platform.counters.watches_waiting == 0
 
 
+def test_outage_cuts_a_watch_that_waits(platform, store):
+    seen = []
+    watcher = threading.Thread(
+        target=lambda: seen.append(store.watch('key', 0, wait_ms=TIMEOUT_MS))
+    )
+    watcher.start()
+    while not platform.counters.watches_waiting:
+        time.sleep(0.001)
+    urllib3.request(
+        'PUT', f'http://{store.address}/admin/faults', json={'mode': 'down'}
+    )
+    platform.state.swap('key', 'text', 0, 0)
+    watcher.join()
+    assert isinstance(seen[0], Unanswered)
+
+
 def test_watch_ends_unchanged(store):
     assert store.watch('key', 0, wait_ms=10) == Unchanged('key')
 
@@ -90,6 +106,7 @@
         ('PUT', '/kv/key', b'{', 400),
         ('GET', '/kv/key?after_version=x', b'', 400),
         ('PUT', '/admin/faults', b'{"mode": "odd"}', 400),
+        ('PUT', '/admin/faults', b'{"modes": "down"}', 400),
         ('PUT', '/admin/vms', b'{"vms": [], "store_ms": 0}', 200),
         ('GET', '/admin/counters', b'', 200),
         (
