--- a/cowsliploom/daemons/_operator_stream.py
+++ b/cowsliploom/daemons/_operator_stream.py
@@ -74,18 +74,17 @@
         """Make lines until the daemon drains or the watcher has gone."""
         state = self.feed.state
         yield b''.join(map(encode_line, self._begin(state)))
-        while not state.closing:
-            lines = self._follow(state)
-            if lines is None:
-                yield encode_line(ClosingLine(TOO_SLOW))
-                return
-            seen = state
+        lines = self._follow(state)
+        while lines is not None:
             if lines:
                 yield b''.join(map(encode_line, lines))
+            if state.closing:
+                yield encode_line(ClosingLine(DRAINING))
+                return
+            seen = state
             state = self.feed.wait(seen, self.heartbeat_ms / MS_PER_S)
-            if state is seen:
-                yield encode_line(self._bookmark(state))
-        yield encode_line(ClosingLine(DRAINING))
+            lines = [self._bookmark(state)] if state is seen else self._follow(state)
+        yield encode_line(ClosingLine(TOO_SLOW))
 
     def close(self) -> None:
         """Give the watch back to the feed, once."""
