Judge a version over all its routes too, and let good servers clear it

Cause: a version that fails everywhere was judged route by route, and one bad server of two condemned its version when the other had few calls.

Weighed: waiting for 20 calls of the other servers against asking whether their latest calls are likelier under the worst server's rate or the allowed one; the second tells total failure at once and clears good servers sooner.

--- a/cowsliploom/rollout/__init__.py
+++ b/cowsliploom/rollout/__init__.py
@@ -33,4 +33,5 @@
 from cowsliploom.rollout._schedule import Progress as Progress
 from cowsliploom.rollout._schedule import SHARES as SHARES
 from cowsliploom.rollout._schedule import is_step_due as is_step_due
+from cowsliploom.rollout._sequential import Block as Block
 from cowsliploom.rollout._sequential import EProcess as EProcess
--- a/cowsliploom/rollout/_judge.py
+++ b/cowsliploom/rollout/_judge.py
@@ -10,6 +10,7 @@
 
 BLOCK_MS = 250  # calls are tested in blocks; a veto waits at most this long
 EVIDENCE_INTERVAL_MS = 1000  # a daemon tells its counts at most this often
+EVIDENCE_ENTRIES_MAX = 64  # in larger fleets each daemon sees enough by itself
 EVIDENCE_BYTES_PER_S = 2000  # of all daemons of the fleet, while a move runs
 MS_PER_S = 1000
 
@@ -59,9 +60,14 @@
     trial: MoveTrial
     is_closed: bool = False
     told_ms: float = 0
+    told_calls: int = 0
     told_generation: int = 0
     interval_ms: float = EVIDENCE_INTERVAL_MS
 
+    def has_news(self) -> bool:
+        """Tell whether the new version was called since the last telling."""
+        return self.trial.own_new_calls > self.told_calls
+
 
 class Judge:
     """Judge the new versions of all declared moves.
@@ -174,7 +180,9 @@
         if finding is not None:
             case.is_closed = True
             return (_veto(case.trial.move, finding),)
-        if tick.now_ms < case.told_ms + case.interval_ms or not case.trial.own_rows:
+        if self._entries > EVIDENCE_ENTRIES_MAX or not case.has_news():
+            return ()
+        if tick.now_ms < case.told_ms + case.interval_ms:
             return ()
         return (self._tell(case, tick),)
 
@@ -191,6 +199,7 @@
             )
         )
         case.told_ms = tick.now_ms
+        case.told_calls = case.trial.own_new_calls
         case.told_generation = max(case.told_generation + 1, int(tick.wall_ms))
         fleet_bytes = len(blob) * self._entries * MS_PER_S
         case.interval_ms = max(EVIDENCE_INTERVAL_MS, fleet_bytes / EVIDENCE_BYTES_PER_S)
--- a/cowsliploom/rollout/_kind_test.py
+++ b/cowsliploom/rollout/_kind_test.py
@@ -1,26 +1,20 @@
 """Test of one kind of badness on one route, over all servers of a version."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from cowsliploom.rollout._moves import BadKind
-from cowsliploom.rollout._sequential import EProcess
+from cowsliploom.rollout._sequential import Block, EProcess
 
 SERVERS_MAX = 64  # servers told apart; further ones are counted as one
-CLEAR_CALLS = 20  # calls that let the other servers speak for a version
-CLEAR_WAIT_MS = 2000  # so long may they take to get these calls
+CLEAR_RATIO = 20  # how much likelier one explanation must be than the other
+CLEAR_WAIT_MS = 2000  # a version goes when this passes without an explanation
+RECENT_CALLS = 100  # latest calls of a server that tell how bad it is now
+RATE_MAX = 0.99  # keeps likelihoods finite
 OTHER_SERVERS = 'others'
 
 
-@dataclass(frozen=True, slots=True)
-class Block:
-    """Hold calls of one kind on one server, and the bad ones among them."""
-
-    calls: int = 0
-    bad: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Finding:
     """Tell why a version is bad on a route."""
@@ -46,10 +40,37 @@
     process: EProcess = EProcess()
     calls: int = 0
     bad: int = 0
-
-    def advance(self, block: Block, allowed_rate: float) -> '_Evidence':
-        process = self.process.advance(block.calls, block.bad, allowed_rate)
-        return _Evidence(process, self.calls + block.calls, self.bad + block.bad)
+    allowed_rate: float = 1
+    recent_calls: float = 0
+    recent_bad: float = 0
+
+    @property
+    def recent_rate(self) -> float:
+        """Return the rate of bad calls now; few calls count as half bad."""
+        rate = (self.recent_bad + 1 / 2) / (self.recent_calls + 1)
+        return min(RATE_MAX, max(rate, self.allowed_rate))
+
+    def log_likelihood_ratio(self, rate: float) -> float:
+        """Compare ``rate`` with the allowed one on the latest calls."""
+        good = self.recent_calls - self.recent_bad
+        log_bad = self.recent_bad * math.log(rate / self.allowed_rate)
+        return log_bad + good * math.log((1 - rate) / (1 - self.allowed_rate))
+
+    def advance(self, blocks: tuple[Block, ...]) -> '_Evidence':
+        calls = sum(block.calls for block in blocks)
+        if not calls:
+            return self
+        bad = sum(block.bad for block in blocks)
+        allowed = sum(block.calls * block.allowed_rate for block in blocks)
+        keep = 1 / 2 if self.recent_calls > RECENT_CALLS else 1
+        return _Evidence(
+            process=self.process.advance(blocks),
+            calls=self.calls + calls,
+            bad=self.bad + bad,
+            allowed_rate=allowed / calls,
+            recent_calls=self.recent_calls * keep + calls,
+            recent_bad=self.recent_bad * keep + bad,
+        )
 
 
 class KindTest:
@@ -58,32 +79,29 @@
     Notes
     -----
     One bad server isn't a bad version. When all calls together are evidence
-    enough, the worst server is left out: if the others had calls and aren't
-    suspect, the version stays, and if they had none within a short time, it goes,
-    so that a version on one warm server can't hide behind cold ones. Against the
-    others the square root of the evidence is enough, as one server is bad already.
+    enough, the worst server is left out and the latest calls of the others are
+    looked at: if they are likelier under the worst server's rate, the version
+    goes; if under the allowed rate, it stays, and from then on the square root of
+    the evidence against the others is enough, as one server is bad already. If
+    they don't tell within a short time, it goes, so that a version on one warm
+    server can't hide behind cold ones.
     """
 
     def __init__(self, kind: BadKind) -> None:
         self.kind = kind
         self._all = _Evidence()
         self._servers: dict[str, _Evidence] = {}
-        self._allowed_rate = 1.0
         self._crossed_ms = math.inf
 
-    def advance(self, blocks: Mapping[str, Block], allowed_rate: float) -> None:
-        """Take a block of calls for each server."""
-        calls = sum(block.calls for block in blocks.values())
-        if not calls:
-            return
-        bad = sum(block.bad for block in blocks.values())
-        self._allowed_rate = allowed_rate
-        self._all = self._all.advance(Block(calls, bad), allowed_rate)
-        for server, block in blocks.items():
-            if block.calls:
-                name = self._slot(server)
-                before = self._servers.get(name, _Evidence())
-                self._servers[name] = before.advance(block, allowed_rate)
+    def advance(self, blocks: Mapping[str, tuple[Block, ...]]) -> None:
+        """Take the calls on each server, from one route or several."""
+        self._all = self._all.advance(
+            tuple(block for seen in blocks.values() for block in seen)
+        )
+        for server, seen in blocks.items():
+            name = self._slot(server)
+            before = self._servers.get(name, _Evidence())
+            self._servers[name] = before.advance(seen)
 
     def find(
         self, now_ms: float, route: str, new_servers: int, e_value_min: float
@@ -97,12 +115,12 @@
         if self._others_clear(now_ms, new_servers, math.sqrt(e_value_min)):
             return None
         return Finding(
-            route,
-            self.kind,
-            self._all.calls,
-            self._all.bad,
-            self._allowed_rate,
-            e_value,
+            route=route,
+            kind=self.kind,
+            calls=self._all.calls,
+            bad=self._all.bad,
+            allowed_rate=self._all.allowed_rate,
+            e_value=e_value,
         )
 
     def _slot(self, server: str) -> str:
@@ -116,10 +134,53 @@
         if new_servers == 1:
             return False
         ranked = sorted(
-            self._servers.values(), key=lambda evidence: evidence.process.e_value
+            (evidence for evidence in self._servers.values() if evidence.calls),
+            key=lambda evidence: evidence.process.e_value,
+        )
+        *others, worst = ranked
+        log_ratio = sum(
+            other.log_likelihood_ratio(worst.recent_rate) for other in others
         )
-        others = ranked[:-1]
-        if sum(evidence.calls for evidence in others) < CLEAR_CALLS:
+        if log_ratio >= math.log(CLEAR_RATIO):
+            return False
+        if log_ratio > -math.log(CLEAR_RATIO):
             return now_ms < self._crossed_ms + CLEAR_WAIT_MS
-        e_values = [evidence.process.e_value for evidence in others]
+        e_values = [other.process.e_value for other in others]
         return sum(e_values) / len(e_values) < e_value_min
+
+
+Blocks = Mapping[BadKind, Mapping[str, Block]]
+
+
+class KindTests:
+    """Test all kinds of badness, on one route or over all routes.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route, for operators.
+    """
+
+    def __init__(self, route: str) -> None:
+        self.route = route
+        self._tests = {kind: KindTest(kind) for kind in BadKind}
+
+    def advance(self, routes: Iterable[Blocks]) -> None:
+        """Take the calls of the same time on one or more routes."""
+        seen = tuple(routes)
+        for kind, test in self._tests.items():
+            by_server: dict[str, tuple[Block, ...]] = {}
+            for blocks in seen:
+                for server, block in blocks[kind].items():
+                    by_server[server] = (*by_server.get(server, ()), block)
+            test.advance(by_server)
+
+    def find(
+        self, now_ms: float, new_servers: int, e_value_min: float
+    ) -> Finding | None:
+        """Return why the version is bad, if it is."""
+        for test in self._tests.values():
+            finding = test.find(now_ms, self.route, new_servers, e_value_min)
+            if finding is not None:
+                return finding
+        return None
--- a/cowsliploom/rollout/_move_trial.py
+++ b/cowsliploom/rollout/_move_trial.py
@@ -6,13 +6,14 @@
 from cowsliploom.rollout._cold import ColdServers
 from cowsliploom.rollout._counts import Counts
 from cowsliploom.rollout._evidence import OLD_VERSION, Evidence, RowKey
-from cowsliploom.rollout._kind_test import Finding
-from cowsliploom.rollout._moves import Move
+from cowsliploom.rollout._kind_test import Finding, KindTests
+from cowsliploom.rollout._moves import BadKind, Move
 from cowsliploom.rollout._route_trial import RouteTrial
 from cowsliploom.routing import RecordSample
 
 MOVE_ALPHA = 1e-4  # chance of taking back a good version, over all daemons
-KINDS = 3  # errors, slowness and errors while cold are tested apart
+KINDS = len(BadKind)  # each kind is tested apart
+ALL_ROUTES = 'all'  # a version that is bad everywhere shows here first
 ROUTES_MAX = 64  # routes told apart; further ones are counted as one
 OTHER_ROUTES = 'others'
 SOURCES_MAX = 256  # daemons whose evidence is added up
@@ -30,7 +31,9 @@
     def __init__(self, move: Move) -> None:
         self.move = move
         self.samples = 0
+        self.own_new_calls = 0
         self.own_rows: dict[RowKey, Counts] = {}
+        self._all_routes = KindTests(ALL_ROUTES)
         self._routes: dict[str, RouteTrial] = {}
         self._thresholds: dict[str, LatencyThreshold] = {}
         self._cold = ColdServers()
@@ -42,6 +45,7 @@
         threshold = self._thresholds.setdefault(route, LatencyThreshold())
         if sample.version == self.move.to_version:
             self._take_own(RowKey(route, sample.server), self._count(sample))
+            self.own_new_calls += 1
         elif sample.version == self.move.from_version and not sample.cold:
             counts = _count_warm(sample, threshold)
             self._take_own(RowKey(route, OLD_VERSION), counts)
@@ -65,10 +69,15 @@
 
     def find(self, now_ms: float, entries: int) -> Finding | None:
         """Test the calls since the last time; return why the version is bad."""
-        for number, route in enumerate(tuple(self._routes.values()), start=1):
-            route.close_block(now_ms)
+        tests: list[KindTests | RouteTrial] = [self._all_routes]
+        tests.extend(self._routes.values())
+        closed = [route.close_block(now_ms) for route in self._routes.values()]
+        blocks = [block for block in closed if block is not None]
+        if blocks:
+            self._all_routes.advance(blocks)
+        for number, test in enumerate(tests, start=1):
             alpha = MOVE_ALPHA / (entries * KINDS * number * (number + 1))
-            finding = route.find(now_ms, self.move.new_servers, 1 / alpha)
+            finding = test.find(now_ms, self.move.new_servers, 1 / alpha)
             if finding is not None:
                 return finding
         return None
--- a/cowsliploom/rollout/_sequential.py
+++ b/cowsliploom/rollout/_sequential.py
@@ -1,6 +1,7 @@
 """Sequential test on a rate of bad calls that may be looked at any time."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 EXCESSES = (0.05, 0.2, 0.5, 0.9)  # alternatives, as parts of the way up to rate 1
@@ -8,6 +9,15 @@
 E_VALUE_MAX = 1e60  # keeps products finite; far above any threshold
 
 
+@dataclass(frozen=True, slots=True)
+class Block:
+    """Hold calls, the bad ones among them, and the rate up to which bad is fine."""
+
+    calls: int
+    bad: int
+    allowed_rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class EProcess:
     """Hold the evidence that a rate of bad calls is above its allowed bound.
@@ -38,9 +48,9 @@
 
     Examples
     --------
-    >>> from cowsliploom.rollout import EProcess
-    >>> good = EProcess().advance(calls=100, bad=1, allowed_rate=0.05)
-    >>> bad = EProcess().advance(calls=100, bad=40, allowed_rate=0.05)
+    >>> from cowsliploom.rollout import Block, EProcess
+    >>> good = EProcess().advance([Block(calls=100, bad=1, allowed_rate=0.05)])
+    >>> bad = EProcess().advance([Block(calls=100, bad=40, allowed_rate=0.05)])
     >>> good.e_value < 1 < bad.e_value
     True
     """
@@ -53,12 +63,13 @@
         """Return the evidence; 1 / alpha is enough at level alpha."""
         return sum(self.wealths) / len(self.wealths)
 
-    def advance(self, calls: int, bad: int, allowed_rate: float) -> 'EProcess':
-        """Return the evidence after a block of calls, ``bad`` of them bad."""
+    def advance(self, blocks: Iterable[Block]) -> 'EProcess':
+        """Return the evidence after calls that were seen at the same time."""
+        seen = tuple(blocks)
         started = _start_weight(self.blocks + 1)
         wealths = tuple(
-            min(E_VALUE_MAX, (wealth + started) * _ratio(calls, bad, allowed_rate, up))
-            for wealth, up in zip(self.wealths, EXCESSES, strict=True)
+            min(E_VALUE_MAX, (wealth + started) * _ratio(seen, excess))
+            for wealth, excess in zip(self.wealths, EXCESSES, strict=True)
         )
         return EProcess(wealths, self.blocks + 1)
 
@@ -70,8 +81,14 @@
     return (early + late) / 2
 
 
-def _ratio(calls: int, bad: int, allowed_rate: float, excess: float) -> float:
-    rate = allowed_rate + (1 - allowed_rate) * excess
-    log_ratio = bad * math.log(rate / allowed_rate)
-    log_ratio += (calls - bad) * math.log((1 - rate) / (1 - allowed_rate))
+def _ratio(blocks: tuple[Block, ...], excess: float) -> float:
+    log_ratio = sum(_log_ratio(block, excess) for block in blocks)
     return math.exp(min(log_ratio, math.log(E_VALUE_MAX)))
+
+
+def _log_ratio(block: Block, excess: float) -> float:
+    allowed = block.allowed_rate
+    rate = allowed + (1 - allowed) * excess
+    good = block.calls - block.bad
+    log_bad = block.bad * math.log(rate / allowed)
+    return log_bad + good * math.log((1 - rate) / (1 - allowed))
--- a/cowsliploom/rollout/tests/test_sequential.py
+++ b/cowsliploom/rollout/tests/test_sequential.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cowsliploom.rollout import EProcess
+from cowsliploom.rollout import Block, EProcess
 
 ALPHA = 0.05
 
@@ -14,7 +14,7 @@
     process = EProcess()
     for _ in range(blocks):
         bad = sum(rng.random() < rate for _ in range(calls))
-        process = process.advance(calls, bad, allowed_rate=0.1)
+        process = process.advance([Block(calls, bad, 0.1)])
         yield process.e_value
 
 
@@ -36,10 +36,10 @@
 def test_late_change_is_found_soon():
     process = EProcess()
     for _ in range(2000):
-        process = process.advance(5, 0, allowed_rate=0.1)
+        process = process.advance([Block(5, 0, 0.1)])
     blocks = 0
     while process.e_value < 1 / ALPHA:
-        process = process.advance(5, 4, allowed_rate=0.1)
+        process = process.advance([Block(5, 4, 0.1)])
         blocks += 1
     assert blocks <= 4
 
@@ -47,5 +47,5 @@
 def test_evidence_stays_finite():
     process = EProcess()
     for _ in range(1000):
-        process = process.advance(1000, 1000, allowed_rate=0.01)
+        process = process.advance([Block(1000, 1000, 0.01)])
     assert process.e_value < float('inf')
