--- a/cowsliploom/loadgen/_compare.py
+++ b/cowsliploom/loadgen/_compare.py
@@ -1,7 +1,7 @@
 """The same arrivals on two systems in one run, and ratios of their figures."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 from cowsliploom.loadgen._arrivals import ArrivalPlan, WorkKind, plan_arrivals
@@ -64,6 +64,10 @@
     )
 
 
+def _do_nothing(_label: str) -> None:
+    """Leave both systems as they are."""
+
+
 def compare(
     targets: tuple[Target, Target],
     plan: ArrivalPlan,
@@ -71,9 +75,33 @@
     clock: Clock,
     workers: int,
     on_record: OnRecord = ignore_record,
+    before_turn: Callable[[str], None] = _do_nothing,
 ) -> Comparison:
     """Load both systems by turns with the same arrivals.
 
+    Parameters
+    ----------
+    targets : tuple of two Target
+        Systems to compare.
+    plan : ArrivalPlan
+        Arrivals; the number of entry VMs is taken from each target.
+    slices : int
+        Turns that each system gets.
+    clock : Clock
+        Times the runs.
+    workers : int
+        Requests in flight at once.
+    on_record : callable
+        Called for each finished request.
+    before_turn : callable
+        Called with the target's label before each turn, such as to turn a server
+        cold again.
+
+    Returns
+    -------
+    Comparison
+        Figures of both, and the first over the second.
+
     Notes
     -----
     Turns in short slices let whatever else the machine does fall on both, and
@@ -85,6 +113,7 @@
     for number, part in enumerate(plan_slices(plan, slices)):
         sides = (0, 1) if number % 2 == 0 else (1, 0)
         for side in sides:
+            before_turn(targets[side].label)
             arrivals = plan_arrivals(_own_plan(part, targets[side]))
             records[side].extend(
                 send_all(targets[side], arrivals, clock, workers, on_record)
--- a/cowsliploom/loadgen/tests/test_command.py
+++ b/cowsliploom/loadgen/tests/test_command.py
@@ -42,7 +42,7 @@
     def answer(self, request):
         if request.path == '/metrics':
             return problem_reply(HTTPStatus.NOT_FOUND, 'no metrics')
-        request_id = request.headers['request-id']
+        request_id = request.header('request-id')
         if request.path.startswith('/v1/searches/'):
             return self._search(request_id)
         return self._run(request_id, decode_body(request, RunRequest).payload)
--- a/cowsliploom/standins/_http.py
+++ b/cowsliploom/standins/_http.py
@@ -30,14 +30,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """Hold one HTTP request as the handlers see it; header names in lower case."""
+    """Hold one HTTP request as the handlers see it."""
 
     method: str
     path: str
     query: dict[str, str] = field(default_factory=dict)
     body: bytes = b''
     peer_port: int = 0
-    headers: dict[str, str] = field(default_factory=dict)
+    environ: Environ = field(default_factory=dict)
+
+    def header(self, name: str) -> str:
+        """Return a header's text; empty when there is none."""
+        field_name = name.upper().replace('-', '_')
+        return str(self.environ.get(f'{HEADER_PREFIX}{field_name}', ''))
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,18 +156,10 @@
         query=dict(parse_qsl(environ.get('QUERY_STRING', ''))),
         body=environ['wsgi.input'].read(min(length, BODY_MAX + 1)) if length else b'',
         peer_port=int(environ.get('REMOTE_PORT') or 0),
-        headers=_read_headers(environ),
+        environ=environ,
     )
 
 
-def _read_headers(environ: Environ) -> dict[str, str]:
-    return {
-        name.removeprefix(HEADER_PREFIX).replace('_', '-').lower(): text
-        for name, text in environ.items()
-        if name.startswith(HEADER_PREFIX)
-    }
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; raise ``ValueError`` naming what was expected."""
     host, _, port = address.rpartition(HOST_PORT)
