--- a/cowsliploom/loadgen/_results.py
+++ b/cowsliploom/loadgen/_results.py
@@ -1,7 +1,7 @@
 """Figures of a run."""
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
@@ -66,7 +66,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkResult:
-    """Hold the figures of one search kind, or of one service's bookings."""
+    """Hold the figures of one search kind, or of one service's bookings.
+
+    ``refusal_p99_ms`` is how long callers waited to be refused.
+    """
 
     kind: WorkKind
     name: str
@@ -77,6 +80,7 @@
     latency: LatencyResult
     coverage: CoverageResult
     refusals: tuple[RefusalCount, ...]
+    refusal_p99_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +164,7 @@
         latency=_latency(each.latency_ms for each in ended_well),
         coverage=_coverage(mine),
         refusals=_refusals(mine),
+        refusal_p99_ms=_at(_histogram(_refusal_times_ms(mine)), 99.0),
     )
 
 
@@ -211,6 +216,12 @@
     )
 
 
+def _refusal_times_ms(records: Sequence[CallRecord]) -> Iterator[float]:
+    for record in records:
+        if isinstance(record.outcome, Refused):
+            yield record.latency_ms
+
+
 def _refusals(records: Sequence[CallRecord]) -> tuple[RefusalCount, ...]:
     counts: Counter[tuple[int, str, str]] = Counter()
     for record in records:
--- a/cowsliploom/loadgen/tests/test_results.py
+++ b/cowsliploom/loadgen/tests/test_results.py
@@ -51,6 +51,8 @@
         RefusalCount(0, 'reset', 'unknown', 1),
     )
     assert (booking.answered, booking.replayed) == (1, 1)
+    assert search.refusal_p99_ms == pytest.approx(5, abs=0.1)
+    assert booking.refusal_p99_ms == 0
 
 
 def test_table(snapshot):
