--- /dev/null
+++ b/cowsliploom/rollout/_route_trial.py
@@ -0,0 +1,74 @@
+"""A new version's calls on one route, set against the old version's."""
+
+from cowsliploom.rollout._baseline import AllowedRates, Baseline
+from cowsliploom.rollout._counts import Counts
+from cowsliploom.rollout._kind_test import Blocks, Finding, KindTests
+from cowsliploom.rollout._moves import BadKind
+from cowsliploom.rollout._sequential import Block
+
+COLD_ERROR_RATE = 0.5  # a cold server may fail half of its calls for a while
+UNKNOWN_ERROR_RATE = 0.2  # allowed where the old version was never seen
+
+
+class RouteTrial:
+    """Compare a new version with the old one on one route.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route.
+    """
+
+    def __init__(self, route: str) -> None:
+        self._baseline = Baseline()
+        self._old = Counts()
+        self._new: dict[str, Counts] = {}
+        self._tests = KindTests(route)
+
+    def add_old(self, counts: Counts) -> None:
+        """Take calls of the old version."""
+        self._old += counts
+
+    def add_new(self, server: str, counts: Counts) -> None:
+        """Take calls of the new version on one server."""
+        self._new[server] = self._new.get(server, Counts()) + counts
+
+    def close_block(self, now_ms: float) -> Blocks | None:
+        """Test the calls since the last block and return them, if there were any."""
+        self._baseline.add(now_ms, self._old)
+        self._old = Counts()
+        if not self._new:
+            return None
+        blocks = _blocks(self._new, self._allowed(now_ms))
+        self._new = {}
+        self._tests.advance([blocks])
+        return blocks
+
+    def find(
+        self, now_ms: float, new_servers: int, e_value_min: float
+    ) -> Finding | None:
+        """Return why the version is bad on this route, if it is."""
+        return self._tests.find(now_ms, new_servers, e_value_min)
+
+    def _allowed(self, now_ms: float) -> AllowedRates:
+        allowed = self._baseline.allowed(now_ms)
+        if self._baseline.is_known():
+            return allowed
+        return AllowedRates(errors=UNKNOWN_ERROR_RATE, slow=allowed.slow)
+
+
+def _blocks(new: dict[str, Counts], allowed: AllowedRates) -> Blocks:
+    return {
+        BadKind.ERRORS: {
+            server: Block(counts.calls, counts.errors, allowed.errors)
+            for server, counts in new.items()
+        },
+        BadKind.SLOW: {
+            server: Block(counts.timed, counts.slow, allowed.slow)
+            for server, counts in new.items()
+        },
+        BadKind.COLD_ERRORS: {
+            server: Block(counts.cold_calls, counts.cold_errors, COLD_ERROR_RATE)
+            for server, counts in new.items()
+        },
+    }
--- a/cowsliploom/standins/_http.py
+++ b/cowsliploom/standins/_http.py
@@ -13,6 +13,8 @@
 import msgspec
 from cheroot import wsgi
 
+from cowsliploom.standins._strict import convert_strictly
+
 HOST_PORT = ':'
 HEADER_PREFIX = 'HTTP_'
 BODY_MAX = 4 * 1024 * 1024  # bytes; above the store's value limit with JSON escapes
@@ -76,6 +78,15 @@
         super().__init__(errno.ECONNRESET, 'dropped by a fault switch')
 
 
+class ListenError(Exception):
+    """Report an address that a stand-in cannot listen on."""
+
+    def __init__(self, peer: str, reason: str) -> None:
+        super().__init__(f'listen {peer}: {reason}')
+        self.step = 'listen'
+        self.peer = peer
+
+
 Handler = Callable[[Request], Reply]
 
 
@@ -94,6 +105,11 @@
     return msgspec.json.decode(request.body, type=shape)
 
 
+def decode_admin_body(request: Request, shape: type[Shape]) -> Shape:
+    """Decode a JSON body of administration; an unknown field is an error too."""
+    return convert_strictly(msgspec.json.decode(request.body), shape)
+
+
 class JsonApp:
     """Turn a typed handler into a WSGI application.
 
@@ -182,14 +198,27 @@
 
     def __enter__(self) -> 'StandinServer':
         """Listen, and serve in the background."""
-        self.prepare()
-        threading.Thread(target=self.serve, daemon=True).start()
+        self.start_serving()
         return self
 
     def __exit__(self, *_exc: object) -> None:
         """Stop serving and close all connections."""
         self.stop()
 
+    def start_serving(self) -> None:
+        """Listen, and serve in the background.
+
+        Raises
+        ------
+        ListenError
+            If the address cannot be had.
+        """
+        try:
+            self.prepare()
+        except OSError as error:
+            raise ListenError(self.address, str(error)) from error
+        threading.Thread(target=self.serve, daemon=True).start()
+
     @property
     def address(self) -> str:
         """Return ``host:port`` as bound."""
