--- a/cowsliploom/routing/_limiter.py
+++ b/cowsliploom/routing/_limiter.py
@@ -103,10 +103,24 @@
 def connection_share(connections_max: int, headroom_ratio: float, entries: int) -> int:
     """Return the connections that one entry VM may open to a server.
 
+    Parameters
+    ----------
+    connections_max : int
+        Open connections that the server accepts.
+    headroom_ratio : float
+        Part left for connections that have gone silent.
+    entries : int
+        Live entry VMs that share the server.
+
+    Notes
+    -----
+    One share more than there are entry VMs is left free, for a VM that replaces
+    another before either has learnt of it.
+
     Examples
     --------
-    >>> connection_share(connections_max=25, headroom_ratio=0.25, entries=8)
+    >>> connection_share(connections_max=25, headroom_ratio=0.1, entries=8)
     2
     """
     usable = connections_max * (1 - headroom_ratio)
-    return max(1, int(usable / max(1, entries)))
+    return max(1, int(usable / (max(1, entries) + 1)))
--- a/cowsliploom/routing/_outcomes.py
+++ b/cowsliploom/routing/_outcomes.py
@@ -114,7 +114,7 @@
         if elapsed_ms < SILENT_RATIO * service.typical_ms:
             return
         self.slow(call, now_ms)
-        is_fresh = call.sent_ms > server.retired_ms
+        is_fresh = call.sent_ms >= server.retired_ms
         was_retired = server.retired_ms > 0
         self._context.retire(server, now_ms)
         if was_retired and is_fresh:
--- a/cowsliploom/routing/_settings.py
+++ b/cowsliploom/routing/_settings.py
@@ -32,9 +32,8 @@
         Queries and runs open at once.
     load_fresh_ms : float, default=1000
         Age up to which a load report narrows a limit, in milliseconds.
-    connection_headroom_ratio : float, default=0.25
-        Part of a server's connections left for replacement VMs and for
-        connections that have gone silent.
+    connection_headroom_ratio : float, default=0.1
+        Part of a server's connections left for those that have gone silent.
     retire_interval_ms : float, default=1000
         Least time between two retirements of a server's connections.
     cold_hold_ms : float, default=5000
@@ -59,7 +58,7 @@
     queue_max: int = 256
     queries_max: int = 2000
     load_fresh_ms: float = 1000
-    connection_headroom_ratio: float = 0.25
+    connection_headroom_ratio: float = 0.1
     retire_interval_ms: float = 1000
     cold_hold_ms: float = 5000
     start_grace_ms: float = 5000
