--- a/cowsliploom/routing/_outcomes.py
+++ b/cowsliploom/routing/_outcomes.py
@@ -14,6 +14,7 @@
 from cowsliploom.routing._tracks import Call, ServerTrack
 from cowsliploom.routing._view import (
     forget_slowness,
+    is_very_slow,
     observe_failure,
     observe_success,
 )
@@ -72,7 +73,7 @@
             self._fleet.note_contact(server, now_ms)
         self._context.record(call, now_ms, succeeded=True)
         if server.is_cold:
-            self._warm_up(server, state)
+            self._warm_up(server, state, elapsed_ms)
         elif server.view.is_slow:
             self._slow_down(call, now_ms)
         else:
@@ -174,7 +175,12 @@
         )
         self._fleet.note_contact(server, now_ms)
 
-    def _warm_up(self, server: ServerTrack, state: ServerState) -> None:
+    def _warm_up(
+        self, server: ServerTrack, state: ServerState, elapsed_ms: float
+    ) -> None:
+        """Let a cold server's allowance grow, unless its answer was very slow."""
+        if is_very_slow(server.view, elapsed_ms):
+            return
         warmth = take_success(server.warmth, state, server.server.slots)
         if not isinstance(warmth, Cold):
             self._fleet.believe_warm(server)
--- a/cowsliploom/routing/_runs.py
+++ b/cowsliploom/routing/_runs.py
@@ -135,7 +135,7 @@
         """Take a call without a readable answer."""
         self._dispatcher.end(call)
         self._outcomes.lose(call, event)
-        if event.ran is Ran.NO:
+        if read_ran(event) is Ran.NO:
             self._send_again(call.work, event.now_ms, event.server)
             return
         is_late = event.timed_out and event.step is FailureStep.RECEIVE
--- a/cowsliploom/routing/_view.py
+++ b/cowsliploom/routing/_view.py
@@ -72,6 +72,11 @@
     )
 
 
+def is_very_slow(view: ServerView, elapsed_ms: float) -> bool:
+    """Tell whether a call took far longer than the server used to take."""
+    return elapsed_ms > view.baseline_ms * VERY_SLOW_RATIO
+
+
 def observe_failure(view: ServerView, now_ms: float) -> ServerView:
     """Return the view after a failed call; its latency says nothing good."""
     error_ratio = view.error_ratio + (1 - view.error_ratio) * ERROR_WEIGHT
--- a/cowsliploom/routing/tests/driver.py
+++ b/cowsliploom/routing/tests/driver.py
@@ -59,7 +59,8 @@
         self.now_ms += after_ms
         state = fields.pop('state', ServerState.LIVE)
         request_id = fields.pop('request_id', send.call_id)
-        refusal = CallRefusal(request_id, reason, ran, 'i1', 'v1', state)
+        version = fields.pop('version', 'v1')
+        refusal = CallRefusal(request_id, reason, ran, 'i1', version, state)
         return self.give(CallRefused(self.now_ms, send.call_id, send.server, refusal))
 
     def fail(
--- a/cowsliploom/routing/tests/fake_server.py
+++ b/cowsliploom/routing/tests/fake_server.py
@@ -43,6 +43,7 @@
     snapshots: tuple[int, ...] = (1,)
     is_dead: bool = False
     is_failing: bool = False
+    is_resetting: bool = False
     bears: int = 1
     warm_after: int = 40
     says_live: bool = False
@@ -159,7 +160,10 @@
             server.bears = 1 + server.served_cold * server.slots // server.warm_after
             if server.served_cold >= server.warm_after:
                 server.state = ServerState.LIVE
-        self._loop.give_back(entry, command, self._reply(command, server), 0)
+        event = self._reply(command, server)
+        if server.is_resetting:
+            event = self._loop.failed(command, FailureStep.RECEIVE)
+        self._loop.give_back(entry, command, event, 0)
 
     def _reply(self, command, server):
         facts = {
