--- a/cowsliploom/routing/_dispatcher.py
+++ b/cowsliploom/routing/_dispatcher.py
@@ -25,7 +25,7 @@
 )
 
 HEDGE_SPARE = 1  # hedges are bounded by their budget, not by the limit alone
-RECENT_CALLS_MAX = 20_000  # ended calls remembered to tell late replies
+RECENT_CALLS = 10_000  # ended calls remembered, at least, to tell late replies
 
 
 class Dispatcher:
@@ -50,6 +50,7 @@
         self._order = 0
         self.extra = ExtraLoad(context)
         self._ended: dict[str, Call] = {}
+        self._ended_before: dict[str, Call] = {}
         self.calls: dict[str, Call] = {}
         self.backlogged: dict[str, ServiceTrack] = {}
 
@@ -151,8 +152,9 @@
         call.server.in_flight -= 1
         call.work.calls.remove(call)
         self._ended[call.call_id] = call
-        if len(self._ended) > RECENT_CALLS_MAX:
-            self._ended.pop(next(iter(self._ended)))
+        if len(self._ended) > RECENT_CALLS:
+            self._ended_before = self._ended
+            self._ended = {}
 
     def cancel(self, call: Call, now_ms: float) -> None:
         """Cancel a call whose answer is no longer wanted."""
@@ -163,7 +165,7 @@
 
     def find_ended(self, call_id: str) -> Call | None:
         """Return an ended call once, for an event that came late."""
-        return self._ended.pop(call_id, None)
+        return self._ended.pop(call_id, None) or self._ended_before.pop(call_id, None)
 
     def wait_ms(self, service: ServiceTrack, urgency: int) -> float:
         """Return the expected wait of a new request, in milliseconds."""
--- a/cowsliploom/routing/_fleet.py
+++ b/cowsliploom/routing/_fleet.py
@@ -19,7 +19,7 @@
 from cowsliploom.routing._replica import preference_factor
 from cowsliploom.routing._shares import change_share
 from cowsliploom.routing._snapshots import take_report
-from cowsliploom.routing._tracks import ServerTrack, ServiceTrack, Work
+from cowsliploom.routing._tracks import Block, ServerTrack, ServiceTrack, Work
 from cowsliploom.routing._warmup import Cold, ColdCause, Warm, take_word
 
 PROBES_FAILED_MAX = 3  # one lost probe says little
@@ -67,7 +67,8 @@
             for name, server in catalog.servers.items()
         }
         for track in known.values():
-            track.is_gone = self.servers.get(track.name) is not track
+            is_gone = self.servers.get(track.name) is not track
+            track.block(Block.GONE, is_gone)
         self.services = {name: self._track_service(name) for name in catalog.services}
         self.change_shares(self._shares)
         self.count_entries(self._entries)
@@ -99,7 +100,7 @@
         self._listed_leaving = servers
         self.generation += 1
         for server in self.servers.values():
-            server.is_listed_leaving = server.name in servers
+            server.block(Block.LISTED_LEAVING, server.name in servers)
 
     def change_shares(self, shares: tuple[VersionShare, ...]) -> None:
         """Take the shares of all version moves."""
@@ -169,8 +170,9 @@
             self._take_incarnation(server, incarnation, state, now_ms)
         if version:
             server.version = version
-        if state is ServerState.LEAVING and not server.is_leaving:
-            server.is_leaving = True
+        is_leaving = state is ServerState.LEAVING
+        if is_leaving and Block.LEAVING not in server.blocks:
+            server.blocks.add(Block.LEAVING)
             self.generation += 1
         warmth = server.warmth
         if isinstance(warmth, Warm) and state is not ServerState.COLD:
@@ -232,7 +234,7 @@
         past = (*server.past_incarnations, server.incarnation)
         server.past_incarnations = tuple(filter(None, past))[-PAST_INCARNATIONS:]
         server.incarnation = incarnation
-        server.is_leaving = False
+        server.blocks.discard(Block.LEAVING)
         server.failures = 0
         server.down_until_ms = 0
         started_ms = self._started_ms or 0
@@ -252,20 +254,21 @@
         is_out = server.spec.data_centre in self.catalog.data_centres_out
         if known is None or known.server.spec.address != server.spec.address:
             known = ServerTrack(
+                server.spec.name,
                 server,
                 server.spec.version,
                 server.spec.data_centre == self._context.data_centre,
                 Cold(ColdCause.UNKNOWN, now_ms),
                 Limiter(1),
             )
-        elif known.is_out and not is_out:
+        elif Block.OUT in known.blocks and not is_out:
             self.turn_cold(known, ColdCause.RETURNED, now_ms)
         if known.server.spec.version != server.spec.version:
             known.version = server.spec.version
         known.server = server
-        known.is_out = is_out
+        known.block(Block.OUT, is_out)
         known.is_owned = known.name in self._owned
-        known.is_listed_leaving = known.name in self._listed_leaving
+        known.block(Block.LISTED_LEAVING, known.name in self._listed_leaving)
         return known
 
     def _track_service(self, name: str) -> ServiceTrack:
--- a/cowsliploom/routing/_outcomes.py
+++ b/cowsliploom/routing/_outcomes.py
@@ -11,7 +11,7 @@
     grow,
 )
 from cowsliploom.routing._messages import CallFailed, FailureStep
-from cowsliploom.routing._tracks import Call, ServerTrack
+from cowsliploom.routing._tracks import Block, Call, ServerTrack
 from cowsliploom.routing._view import (
     forget_slowness,
     is_very_slow,
@@ -159,7 +159,7 @@
             case RefusalReason.COLD:
                 self._fleet.turn_cold(server, ColdCause.WORD, now_ms)
             case RefusalReason.LEAVING:
-                server.is_leaving = True
+                server.blocks.add(Block.LEAVING)
                 self._fleet.generation += 1
             case RefusalReason.WRONG_SERVICE:
                 server.view = observe_failure(server.view, now_ms)
@@ -197,7 +197,7 @@
         """
         server = call.server
         others_warm = any(
-            not other.is_cold and not other.view.is_slow and not other.is_blocked
+            not other.is_cold and not other.view.is_slow and not other.blocks
             for other in call.work.service.servers
             if other is not server
         )
--- a/cowsliploom/routing/_queries.py
+++ b/cowsliploom/routing/_queries.py
@@ -72,6 +72,9 @@
         settings = self._context.settings
         deadline_ms = answer_deadline_ms(settings, event.now_ms, event.deadline_ms)
         left_ms = deadline_ms - event.now_ms
+        if left_ms <= 0:
+            self._refuse(event, RefusalCause.DEADLINE)
+            return
         wait_ms = self._planner.overload_wait_ms(search, left_ms)
         if len(self.open) >= settings.queries_max:
             wait_ms = left_ms
@@ -151,17 +154,20 @@
     def _answer(self, query: OpenQuery, now_ms: float) -> None:
         if query.is_closed:
             return
-        query_id = query.name
         self._close(query, now_ms)
         if not query.replies:
             self._refuse_empty(query, now_ms)
             return
+        self._answer_from_replies(query)
+        query.replies.clear()
+
+    def _answer_from_replies(self, query: OpenQuery) -> None:
         coverage = measure_coverage(query.plan, query.replies)
         if coverage.missing_services:
             self._context.count('partial_answers')
         hits = merge_hits(query.replies.values(), query.search.hits_max)
         self._context.commands.append(
-            AnswerQuery(query_id, query.plan.snapshot, coverage, hits)
+            AnswerQuery(query.name, query.plan.snapshot, coverage, hits)
         )
 
     def _refuse_empty(self, query: OpenQuery, now_ms: float) -> None:
--- a/cowsliploom/routing/_tracks.py
+++ b/cowsliploom/routing/_tracks.py
@@ -38,12 +38,23 @@
     REQUEUE = 'requeues'
 
 
+class Block(StrEnum):
+    """Name why a server gets no new work."""
+
+    OUT = 'out'
+    LEAVING = 'leaving'
+    LISTED_LEAVING = 'listed_leaving'
+    GONE = 'gone'
+
+
 @dataclass(slots=True, eq=False)
 class ServerTrack:
     """Keep one backend server.
 
     Parameters
     ----------
+    name : str
+        Name of the server.
     server : CatalogServer
         What the configuration says.
     version : str
@@ -56,6 +67,7 @@
         Adaptive limit of calls in flight.
     """
 
+    name: str
     server: CatalogServer
     version: str
     local: bool
@@ -70,10 +82,7 @@
     incarnation: str = ''
     past_incarnations: tuple[str, ...] = ()
     is_known: bool = False
-    is_gone: bool = False
-    is_out: bool = False
-    is_leaving: bool = False
-    is_listed_leaving: bool = False
+    blocks: set[Block] = field(default_factory=set)
     is_owned: bool = False
     failures: int = 0
     refused_connections: int = 0
@@ -87,26 +96,23 @@
     reported_cold: int = 0
     connections_max: int = 0
 
-    @property
-    def name(self) -> str:
-        """Return the server's name."""
-        return self.server.spec.name
-
     @property
     def is_cold(self) -> bool:
         """Tell whether the server is taken as cold."""
         return isinstance(self.warmth, Cold)
 
-    @property
-    def is_blocked(self) -> bool:
-        """Tell whether the server gets no new work at all."""
-        return self.is_out or self.is_leaving or self.is_listed_leaving or self.is_gone
+    def block(self, reason: Block, is_blocked: bool) -> None:
+        """Set or clear one reason to send no new work at all."""
+        if is_blocked:
+            self.blocks.add(reason)
+        else:
+            self.blocks.discard(reason)
 
     def is_reachable(self, now_ms: float) -> bool:
         """Tell whether the server may get work when it has room."""
-        if self.is_blocked or now_ms < self.down_until_ms:
+        if self.blocks or now_ms < self.down_until_ms:
             return False
-        return self.is_owned or not self.is_cold
+        return self.is_owned or not isinstance(self.warmth, Cold)
 
     def has_room(
         self, now_ms: float, typical_ms: float, fresh_ms: float, spare: int = 0
--- a/cowsliploom/routing/tests/fake_server.py
+++ b/cowsliploom/routing/tests/fake_server.py
@@ -64,7 +64,7 @@
     def said_state(self):
         return ServerState.LIVE if self.says_live else self.state
 
-    def turn_cold(self, incarnation=None):
+    def turn_cold(self, incarnation: str | None = None) -> None:
         self.state = ServerState.COLD
         self.incarnation = incarnation or self.incarnation
         self.served_cold = 0
--- a/cowsliploom/routing/tests/loop.py
+++ b/cowsliploom/routing/tests/loop.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
+from typing import Any
 
 from cowsliploom.protocol import Ran
 from cowsliploom.routing import (
@@ -42,8 +43,8 @@
     data_centre: str
     is_ticking: bool = False
     sub_requests: int = 0
-    answers: dict[str, object] = field(default_factory=dict)
-    refusals: dict[str, object] = field(default_factory=dict)
+    answers: dict[str, Any] = field(default_factory=dict)
+    refusals: dict[str, Any] = field(default_factory=dict)
     retired: list[object] = field(default_factory=list)
     samples: list[object] = field(default_factory=list)
 
@@ -51,12 +52,20 @@
 class Loop:
     """Run entries and servers until the simulated time is up."""
 
-    def __init__(self, routers, services=20, replicas=2, seed=1, slots=2, **options):
+    def __init__(
+        self,
+        routers: Any,
+        services: int = 20,
+        replicas: int = 2,
+        seed: int = 1,
+        slots: int = 2,
+        **options: Any,
+    ) -> None:
         self.now_ms = float()
         self.rng = random.Random(seed)
-        self.arrived = {}
-        self.open_calls = set()
-        self._events = []
+        self.arrived: dict[str, Any] = {}
+        self.open_calls: set[str] = set()
+        self._events: list[Any] = []
         self._order = itertools.count()
         self.wire = Wire(self)
         self.entries = [Entry(router, router.data_centre) for router in routers]
@@ -68,10 +77,10 @@
         self.configuration = samples.make_configuration(services, replicas, slots)
         self._start()
 
-    def at(self, time_ms, action, *arguments):
+    def at(self, time_ms: float, action: Any, *arguments: Any) -> None:
         heappush(self._events, (time_ms, next(self._order), action, arguments))
 
-    def run(self, until_ms):
+    def run(self, until_ms: float) -> None:
         while self._events and self._events[0][0] <= until_ms:
             planned = heappop(self._events)
             self.now_ms = planned[0]
@@ -102,7 +111,13 @@
         event = RunArrived(self.now_ms, run_id, service, 'van', 'c', deadline_ms)
         self.give(entry, event)
 
-    def plan_arrivals(self, per_second, from_ms, until_ms, searches=('briefing',)):
+    def plan_arrivals(
+        self,
+        per_second: float,
+        from_ms: float,
+        until_ms: float,
+        searches: Any = ('briefing',),
+    ) -> None:
         """Plan seeded Poisson arrivals over all entries in turn."""
         time_ms = from_ms
         for number in itertools.count():
@@ -190,7 +205,7 @@
             self.give(entry, replace(event, now_ms=self.now_ms))
 
 
-def summarise(loop, from_ms=0):
+def summarise(loop: 'Loop', from_ms: float = 0) -> dict[str, float]:
     """Return figures over the queries that arrived since a time."""
     spent, ratios, late = [], [], 0
     refused = 0
--- a/cowsliploom/routing/tests/samples.py
+++ b/cowsliploom/routing/tests/samples.py
@@ -1,5 +1,7 @@
 """Configurations, health and replies for the tests of routing."""
 
+from typing import Any
+
 from cowsliploom.protocol import (
     DocRange,
     HealthReport,
@@ -116,7 +118,13 @@
     return SearchReply(**{**values, **fields})
 
 
-def start(router, services=3, replicas=2, snapshots=(1,), **options):
+def start(
+    router: Any,
+    services: int = 3,
+    replicas: int = 2,
+    snapshots: Any = (1,),
+    **options: Any,
+) -> Any:
     """Give a router its configuration and one round of health."""
     configuration = make_configuration(services, replicas, **options)
     router.step(ConfigurationApplied(1.0, configuration))
--- a/cowsliploom/routing/tests/test_stragglers.py
+++ b/cowsliploom/routing/tests/test_stragglers.py
@@ -142,6 +142,13 @@
     assert send.deadline_ms == driver.now_ms + 185
 
 
+def test_query_past_its_deadline_sends_nothing():
+    driver = Driver()
+    assert not driver.ask(limit_ms=0)
+    assert driver.refusal.cause is RefusalCause.DEADLINE
+    assert driver.refusal.ran is Ran.NO
+
+
 def test_caller_that_left_cancels_all():
     driver = Driver()
     driver.ask()
