--- a/cowsliploom/adapters/_peer_codec.py
+++ b/cowsliploom/adapters/_peer_codec.py
@@ -66,13 +66,17 @@
 def encode_ask(ask: FetchAsk) -> peer_pb2.FetchRequest:
     """Return a question for news as its message."""
     return peer_pb2.FetchRequest(
-        after_revision=ask.after_revision, wants_facts=ask.wants_facts
+        after_revision=ask.after_revision,
+        wants_facts=ask.wants_facts,
+        fact_sums=ask.fact_sums,
     )
 
 
 def decode_ask(message: peer_pb2.FetchRequest) -> FetchAsk:
     """Return a message as a question for news."""
-    return FetchAsk(message.after_revision, message.wants_facts)
+    return FetchAsk(
+        message.after_revision, message.wants_facts, tuple(message.fact_sums)
+    )
 
 
 def encode_answer(answer: FetchAnswer) -> peer_pb2.FetchReply:
--- a/cowsliploom/coordination/_dissemination.py
+++ b/cowsliploom/coordination/_dissemination.py
@@ -1,5 +1,8 @@
 """Spreading the configuration and grow-only facts from member to member."""
 
+import functools
+import itertools
+import operator
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -9,15 +12,28 @@
 from cowsliploom.coordination._piggyback import PiggybackQueue
 
 FACTS_PER_FRAME = 4  # facts carry content, so few fit a small frame
+FACT_BUCKETS = 32  # a lost fact costs a 32nd of all facts, and 32 sums to ask
 BLOBS_KEPT = 4  # older revisions that a change can be told against
 
 
 @dataclass(frozen=True, slots=True)
 class FetchAsk:
-    """Ask a peer for the configuration above a revision, and for its facts."""
+    """Ask a peer for the configuration above a revision, and for its facts.
+
+    Parameters
+    ----------
+    after_revision : int
+        Revision that the asking daemon has.
+    wants_facts : bool
+        Whether facts are wanted, too.
+    fact_sums : tuple of int
+        Sums of the asking daemon's facts by bucket, so that only those of the
+        buckets that differ are sent; empty for all facts.
+    """
 
     after_revision: int
     wants_facts: bool = False
+    fact_sums: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +84,10 @@
     return xxhash.xxh3_64_intdigest(f'{fact.key}\n{fact.generation}'.encode())
 
 
+def _bucket(fact: Fact) -> int:
+    return xxhash.xxh3_64_intdigest(fact.key.encode()) % FACT_BUCKETS
+
+
 class Dissemination:
     """Hold the newest configuration and facts, and spread them.
 
@@ -91,11 +111,16 @@
     def __init__(self, blobs_kept: int = BLOBS_KEPT) -> None:
         self.blobs_kept = blobs_kept
         self.revision = 0
-        self.fact_digest = 0
         self._blobs: OrderedDict[int, bytes] = OrderedDict()
         self._facts: dict[str, Fact] = {}
+        self._fact_sums = list(itertools.repeat(0, FACT_BUCKETS))
         self._queue = PiggybackQueue[Fact](FACTS_PER_FRAME)
 
+    @property
+    def fact_digest(self) -> int:
+        """Return the sum of all facts; equal sets of facts have equal sums."""
+        return functools.reduce(operator.xor, self._fact_sums)
+
     def announce_configuration(self, revision: int, blob: bytes) -> bool:
         """Take a configuration if its revision is higher; tell whether it was."""
         if revision <= self.revision:
@@ -112,9 +137,9 @@
         if known is not None:
             if fact.generation <= known.generation:
                 return False
-            self.fact_digest ^= _fact_hash(known)
+            self._fact_sums[_bucket(fact)] ^= _fact_hash(known)
         self._facts[fact.key] = fact
-        self.fact_digest ^= _fact_hash(fact)
+        self._fact_sums[_bucket(fact)] ^= _fact_hash(fact)
         self._queue.put(fact.key, fact)
         return True
 
@@ -135,12 +160,17 @@
         is_quiet = not (news.facts or self._queue)
         wants_facts = is_quiet and news.fact_digest != self.fact_digest
         if news.revision > self.revision or wants_facts:
-            return FetchAsk(self.revision, wants_facts)
+            sums = self.ask_sums() if wants_facts else ()
+            return FetchAsk(self.revision, wants_facts, sums)
         return None
 
+    def ask_sums(self) -> tuple[int, ...]:
+        """Return the sums of the own facts by bucket."""
+        return tuple(self._fact_sums)
+
     def answer(self, ask: FetchAsk) -> FetchAnswer:
         """Return the newest configuration, as a change where possible."""
-        facts = tuple(self._facts.values()) if ask.wants_facts else ()
+        facts = self._facts_beyond(ask) if ask.wants_facts else ()
         if ask.after_revision >= self.revision:
             return FetchAnswer(facts=facts)
         blob = self._blobs[self.revision]
@@ -178,6 +208,18 @@
         self.announce_configuration(answer.revision, blob)
         return (*heard, ConfigurationHeard(answer.revision, blob))
 
+    def _facts_beyond(self, ask: FetchAsk) -> tuple[Fact, ...]:
+        """Return the facts of the buckets that differ from the asking daemon's."""
+        if len(ask.fact_sums) != FACT_BUCKETS:
+            return tuple(self._facts.values())
+        pairs = zip(self._fact_sums, ask.fact_sums, strict=True)
+        differing = {
+            bucket for bucket, (own, other) in enumerate(pairs) if own != other
+        }
+        return tuple(
+            fact for fact in self._facts.values() if _bucket(fact) in differing
+        )
+
     def _rebuild(self, answer: FetchAnswer) -> bytes | None:
         if not answer.base_revision:
             return answer.middle
--- a/cowsliploom/coordination/tests/test_dissemination.py
+++ b/cowsliploom/coordination/tests/test_dissemination.py
@@ -245,6 +245,20 @@
     loop.run_until(lambda: len(fact_digests(loop)) == 1, 20_000)
 
 
+def test_missing_fact_is_fetched_with_few_others():
+    holders = (Dissemination(), Dissemination())
+    for number in range(320):
+        for holder in holders:
+            holder.announce_fact(Fact(f'key-{number}', 1))
+    source, target = holders
+    source.announce_fact(Fact('key-7', 2))
+    ask = FetchAsk(0, wants_facts=True, fact_sums=target.ask_sums())
+    answer = source.answer(ask)
+    assert len(answer.facts) < 40
+    assert [heard.fact for heard in target.take(answer)] == [Fact('key-7', 2)]
+    assert target.fact_digest == source.fact_digest
+
+
 @pytest.mark.parametrize(
     ('old', 'new'),
     [
--- /dev/null
+++ b/cowsliploom/coordination/tests/test_examples.py
@@ -0,0 +1,35 @@
+"""The examples in docstrings and in examples/ do what they say."""
+
+import doctest
+import importlib
+import runpy
+from pathlib import Path
+
+import pytest
+
+EXAMPLE = Path(__file__).parents[3] / 'examples' / 'embed_membership.py'
+MODULES = (
+    'coordination._dissemination',
+    'coordination._leases',
+    'coordination._membership',
+    'coordination._node',
+    'coordination._ownership',
+    'coordination._piggyback',
+    'coordination._rendezvous',
+    'coordination._store_watch',
+    'daemons._peer_task',
+)
+
+
+@pytest.mark.parametrize('name', MODULES)
+def test_docstring_examples_run(name):
+    outcome = doctest.testmod(importlib.import_module(f'cowsliploom.{name}'))
+    assert outcome.attempted
+    assert not outcome.failed
+
+
+def test_embedded_nodes_share_all_servers(capsys):
+    runpy.run_path(str(EXAMPLE), run_name='__main__')
+    printed = capsys.readouterr().out
+    for number in range(9):
+        assert printed.count(f"'server-{number}'") == 1
--- a/cowsliploom/daemons/_peer_task.py
+++ b/cowsliploom/daemons/_peer_task.py
@@ -74,7 +74,7 @@
     ...         task.announce_configuration(7, b'seven')
     ...         return task.fleet()
     >>> asyncio.run(run(on_event=lambda event: None))
-    (coordination.MemberStatus(name='vm-1', data_centre='de', applied_revision=7),)
+    (MemberStatus(name='vm-1', data_centre='de', applied_revision=7),)
     """
 
     def __init__(
