Elect owners anew only where the election can differ

The owners after each random fault sequence are now also compared with one central election, and a part that forgets the dead is caught by that comparison.

--- a/cowsliploom/coordination/_ownership.py
+++ b/cowsliploom/coordination/_ownership.py
@@ -1,8 +1,7 @@
 """Ownership of backend servers: one owner, or for a while none, never two."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from cowsliploom.coordination._members import Member
 from cowsliploom.coordination._messages import MembersChanged
 from cowsliploom.coordination._rendezvous import rendezvous_score
 from cowsliploom.coordination._settings import MembershipSettings
@@ -23,6 +22,16 @@
     since_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Fleet:
+    """Hold what elections depend on: own members, and data centres."""
+
+    names: frozenset[str] = frozenset()
+    known: frozenset[str] = frozenset()
+    reachable: frozenset[str] = frozenset()
+    is_listed: bool = False
+
+
 class Ownership:
     """Tell which backend servers this daemon owns, by rendezvous and hold-off.
 
@@ -55,6 +64,7 @@
     --------
     >>> ownership = Ownership('vm-1', 'de', MembershipSettings())
     >>> ownership.watch(0, (WatchedServer('server-1', 'de'),))
+    >>> from cowsliploom.coordination import Member
     >>> alone = MembersChanged((Member('vm-1', '', 'de'),), absent=True)
     >>> ownership.members_changed(0, alone)
     >>> ownership.owns('server-1', now_ms=0)
@@ -74,52 +84,33 @@
         self.has_left = False
         self._watched: dict[str, str] = {}
         self._winners: dict[str, _Winner] = {}
-        self._live: tuple[Member, ...] = ()
-        self._names: frozenset[str] = frozenset()
-        self._known: frozenset[str] = frozenset()
-        self._reachable: frozenset[str] = frozenset()
-        self._is_listed = False
+        self._elected_here: set[str] = set()
+        self._fleet = _Fleet()
         self._has_joined = False
         self._contact_ms: float | None = None
 
     def watch(self, now_ms: float, servers: tuple[WatchedServer, ...]) -> None:
         """Take the whole set of servers that need an owner."""
         watched = {watched.server: watched.data_centre for watched in servers}
-        for server in set(self._winners).difference(watched):
-            self._winners.pop(server)
-        for server, data_centre in watched.items():
-            if self._watched.get(server) != data_centre:
-                self._winners.pop(server, None)
+        for server, data_centre in self._watched.items():
+            if watched.get(server) != data_centre:
+                self._drop(server)
         self._watched = watched
-        self._elect_all(now_ms)
+        self._review(now_ms)
 
     def members_changed(self, now_ms: float, changed: MembersChanged) -> None:
         """Take the live members and elect owners anew where it matters."""
+        before = self._fleet
         was_alone = self._is_alone()
-        self._live = changed.live
-        names = frozenset(
-            member.name
-            for member in changed.live
-            if member.data_centre == self.data_centre
-        )
-        present = frozenset(member.data_centre for member in changed.live)
-        reachable = present.difference(changed.unreachable)
-        reachable = reachable.union((self.data_centre,))
-        known = present.union(changed.unreachable)
-        self._is_listed = changed.absent
+        self._fleet = self._read(changed)
         self._has_joined = self._has_joined or changed.absent
-        has_moved = (self._known, self._reachable) != (known, reachable)
-        self._known = known
-        self._reachable = reachable
-        gone = self._names.difference(names)
-        joined = names.difference(self._names)
-        self._names = names
         if not was_alone:
             self.tick(now_ms)
-        if has_moved:
-            self._elect_all(now_ms)
-        else:
-            self._elect_after(now_ms, joined, gone)
+        names = self._fleet.names
+        joined = names.difference(before.names)
+        self._elect_after(now_ms, joined, before.names.difference(names))
+        if replace(before, names=names) != self._fleet:
+            self._review(now_ms)
 
     def contact_made(self, sent_ms: float, now_ms: float) -> None:
         """Note that a member of the data centre answered a call of ``sent_ms``."""
@@ -161,7 +152,7 @@
         if not self._is_heard(now_ms):
             return frozenset()
         return frozenset(
-            server for server in self._winners if self.owns(server, now_ms)
+            server for server in self._elected_here if self.owns(server, now_ms)
         )
 
     def elected(self, server: str) -> str:
@@ -169,13 +160,28 @@
         winner = self._winners.get(server)
         return '' if winner is None else winner.name
 
+    def _read(self, changed: MembersChanged) -> _Fleet:
+        present = frozenset(member.data_centre for member in changed.live)
+        reachable = present.difference(changed.unreachable)
+        names = frozenset(
+            member.name
+            for member in changed.live
+            if member.data_centre == self.data_centre
+        )
+        return _Fleet(
+            names,
+            present.union(changed.unreachable),
+            reachable.union((self.data_centre,)),
+            changed.absent,
+        )
+
     def _is_heard(self, now_ms: float) -> bool:
         if self.has_left or self._contact_ms is None:
             return False
         return now_ms - self._contact_ms < self.settings.give_up_ms
 
     def _is_alone(self) -> bool:
-        return self._names == {self.self_name}
+        return self._fleet.names == {self.self_name}
 
     def _note_contact(self, contact_ms: float, now_ms: float | None = None) -> None:
         """Move the last contact on; after a gap the hold-off begins anew."""
@@ -188,36 +194,48 @@
         for winner in self._winners.values():
             winner.since_ms = now_ms
 
-    def _elect_all(self, now_ms: float) -> None:
+    def _review(self, now_ms: float) -> None:
+        """Elect owners of servers that are new to this data centre; drop others."""
         for server in self._watched:
-            self._elect(server, now_ms, self._names)
+            if not self._is_ours(server):
+                self._drop(server)
+            elif server not in self._winners:
+                self._elect(server, now_ms, self._fleet.names)
 
     def _elect_after(
         self, now_ms: float, joined: frozenset[str], gone: frozenset[str]
     ) -> None:
         """Elect anew only where the winner is gone or a new member ranks higher."""
-        for server in self._watched:
-            winner = self._winners.get(server)
-            if winner is None or winner.name in gone:
-                self._elect(server, now_ms, self._names)
+        for server, winner in tuple(self._winners.items()):
+            if winner.name in gone:
+                self._elect(server, now_ms, self._fleet.names)
             elif joined:
                 self._elect(server, now_ms, joined.union((winner.name,)))
 
     def _elect(self, server: str, now_ms: float, names: frozenset[str]) -> None:
-        if not (names and self._is_ours(server)):
-            self._winners.pop(server, None)
+        if not names:
+            self._drop(server)
             return
         score, name = max((rendezvous_score(server, name), name) for name in names)
         winner = self._winners.get(server)
         if winner is None or winner.name != name:
+            self._drop(server)
             self._winners[server] = _Winner(score, name, now_ms)
+            if name == self.self_name:
+                self._elected_here.add(server)
+
+    def _drop(self, server: str) -> None:
+        self._winners.pop(server, None)
+        self._elected_here.discard(server)
 
     def _is_ours(self, server: str) -> bool:
         """Tell whether the members of this data centre elect a server's owner."""
         data_centre = self._watched[server]
         if data_centre == self.data_centre:
             return True
-        if data_centre in self._known or not self._is_listed:
+        if data_centre in self._fleet.known or not self._fleet.is_listed:
             return False
-        scored = ((rendezvous_score(server, name), name) for name in self._reachable)
+        scored = (
+            (rendezvous_score(server, name), name) for name in self._fleet.reachable
+        )
         return max(scored)[1] == self.data_centre
--- a/cowsliploom/coordination/tests/test_ownership.py
+++ b/cowsliploom/coordination/tests/test_ownership.py
@@ -103,6 +103,17 @@
     loop, judge = play_faults(seed, drawn, loss=loss)
     loop.run_until(judge.all_owned, SETTLE_MS)
     assert not judge.overlaps
+    loop.run_until(lambda: owns_as_elected(loop, judge), SETTLE_MS)
+
+
+def owns_as_elected(loop, judge):
+    """Compare the owners with those that one central election would choose."""
+    names = [name for name in loop.vms if place(loop, name) == 'de']
+    return all(
+        judge.owners(server)
+        == {max((rendezvous_score(server, name), name) for name in names)[1]}
+        for server, _ in SERVERS
+    )
 
 
 @settings(derandomize=True, max_examples=25, deadline=None)
@@ -110,10 +121,7 @@
 def test_quiet_fleet_owns_as_a_central_election(seed):
     places = ('de',) * 5 + ('gogledd',) * 2
     loop, judge = judged(places, seed)
-    names = [name for name in loop.vms if place(loop, name) == 'de']
-    for server, _ in SERVERS:
-        expected = max((rendezvous_score(server, name), name) for name in names)[1]
-        assert judge.owners(server) == {expected}
+    assert owns_as_elected(loop, judge)
 
 
 @pytest.mark.parametrize('gap_ms', [0, 500, 3000, 12_000])
@@ -272,3 +280,21 @@
     for seed in range(5):
         _, judge = play_faults(seed, FREEZE_THEN_RESTART)
         assert not judge.overlaps
+
+
+class _OwnershipThatForgetsTheDead(Ownership):
+    def _elect_after(self, now_ms, joined, gone):
+        super()._elect_after(now_ms, joined, frozenset())
+
+
+def test_central_election_catches_a_seeded_fault():
+    loop, judge = judged(('de',) * 4, node_type=node_type(_OwnershipThatForgetsTheDead))
+    loop.kill('vm-0')
+    loop.vms.pop('vm-0')
+    loop.run(SETTLE_MS)
+    assert not owns_as_elected(loop, judge)
+    healthy, healthy_judge = judged(('de',) * 4)
+    healthy.kill('vm-0')
+    healthy.vms.pop('vm-0')
+    healthy.run(SETTLE_MS)
+    assert owns_as_elected(healthy, healthy_judge)
