--- a/cowsliploom/daemons/_claims_task.py
+++ b/cowsliploom/daemons/_claims_task.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from types import TracebackType
 
+from cowsliploom.adapters import PartLog
 from cowsliploom.coordination import (
     ClaimAsked,
     ClaimBook,
@@ -25,6 +26,7 @@
     segment_key,
 )
 from cowsliploom.coordination._claims import ClaimCommand, ClaimEvent, Decision
+from cowsliploom.daemons._store_calls import ask_store
 from cowsliploom.ports import Clock, Store
 
 MS_PER_S = 1000
@@ -63,6 +65,7 @@
         self.clock = clock
         self.owner = owner
         self._inbox: queue.SimpleQueue[ClaimEvent | None] = queue.SimpleQueue()
+        self._log = PartLog('claims')
         self._futures: dict[int, Future[Decision]] = {}
         self._tickets = 0
         self._ticket_lock = threading.Lock()
@@ -145,9 +148,15 @@
     def _take(self, book: ClaimBook, event: ClaimEvent | None) -> bool:
         if event is None:
             return False
+        try:
+            self._step(book, event)
+        except Exception as error:
+            self._log.write('Event not handled.', error=repr(error))
+        return True
+
+    def _step(self, book: ClaimBook, event: ClaimEvent) -> None:
         for command in book.step(event):
             self._perform(command)
-        return True
 
     def _tick_when_due(self, book: ClaimBook) -> None:
         now_ms = self.clock.now_ms()
@@ -180,16 +189,18 @@
 
     def _read(self, command: ReadSegment) -> None:
         self._calls['read'] += 1
-        answer = self.store.read(segment_key(command.segment), STORE_TIMEOUT_MS)
+        key = segment_key(command.segment)
+        answer = ask_store('claim.read', lambda: self.store.read(key, STORE_TIMEOUT_MS))
         self._inbox.put(SegmentRead(self.clock.now_ms(), command.segment, answer))
 
     def _swap(self, command: SwapSegment) -> None:
         self._calls['swap'] += 1
-        answer = self.store.swap(
-            segment_key(command.segment),
-            command.text,
-            command.expected_version,
-            STORE_TIMEOUT_MS,
+        key = segment_key(command.segment)
+        answer = ask_store(
+            'claim.swap',
+            lambda: self.store.swap(
+                key, command.text, command.expected_version, STORE_TIMEOUT_MS
+            ),
         )
         self._inbox.put(SegmentSwapped(self.clock.now_ms(), command.segment, answer))
 
--- a/cowsliploom/daemons/_rollout_task.py
+++ b/cowsliploom/daemons/_rollout_task.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from types import TracebackType
 
+from cowsliploom.adapters import PartLog
+from cowsliploom.daemons._store_calls import ask_store
 from cowsliploom.ports import Clock, Store
 from cowsliploom.resources import Configuration
 from cowsliploom.rollout import (
@@ -71,7 +73,8 @@
     """End the task."""
 
 
-_Message = RecordSample | _Configured | _FactHeard | ControllerEvent | _Stop
+_Input = RecordSample | _Configured | _FactHeard | ControllerEvent
+_Message = _Input | _Stop
 
 
 class RolloutTask:
@@ -108,6 +111,7 @@
         self._rollout = Rollout(daemon, incarnation)
         self._view = RolloutView({}, (), is_controller=False)
         self._inbox: queue.SimpleQueue[_Message] = queue.SimpleQueue()
+        self._log = PartLog('rollout')
         self._calls: Counter[str] = Counter()
         self._ticked_ms = float('-inf')
         self._thread = threading.Thread(target=self._run, name='rollout', daemon=True)
@@ -161,9 +165,15 @@
             message = self._next_message()
             if isinstance(message, _Stop):
                 break
-            if message is not None:
-                self._perform(self._take(message))
-            self._tick_when_due()
+            try:
+                self._act(message)
+            except Exception as error:
+                self._log.write('Message not handled.', error=repr(error))
+
+    def _act(self, message: _Input | None) -> None:
+        if message is not None:
+            self._perform(self._take(message))
+        self._tick_when_due()
 
     def _next_message(self) -> _Message | None:
         try:
@@ -171,9 +181,7 @@
         except queue.Empty:
             return None
 
-    def _take(
-        self, message: RecordSample | _Configured | _FactHeard | ControllerEvent
-    ) -> tuple[RolloutCommand, ...]:
+    def _take(self, message: _Input) -> tuple[RolloutCommand, ...]:
         now_ms = self.clock.now_ms()
         match message:
             case RecordSample():
@@ -215,20 +223,27 @@
     def _lease(self, command: CallLease) -> None:
         self._calls['lease'] += 1
         sent_ms = self.clock.now_ms()
-        answer = self.store.lease(LEASE_NAME, command.call, STORE_TIMEOUT_MS)
+        answer = ask_store(
+            'rollout.lease',
+            lambda: self.store.lease(LEASE_NAME, command.call, STORE_TIMEOUT_MS),
+        )
         self._inbox.put(LeaseAnswered(self.clock.now_ms(), sent_ms, answer))
 
     def _read(self, command: ReadState) -> None:
         self._calls['read'] += 1
-        answer = self.store.read(f'moves/{command.move}', STORE_TIMEOUT_MS)
+        key = f'moves/{command.move}'
+        answer = ask_store(
+            'rollout.read', lambda: self.store.read(key, STORE_TIMEOUT_MS)
+        )
         self._inbox.put(StateRead(self.clock.now_ms(), command.move, answer))
 
     def _swap(self, command: SwapState) -> None:
         self._calls['swap'] += 1
-        answer = self.store.swap(
-            f'moves/{command.move}',
-            command.text,
-            command.expected_version,
-            STORE_TIMEOUT_MS,
+        key = f'moves/{command.move}'
+        answer = ask_store(
+            'rollout.swap',
+            lambda: self.store.swap(
+                key, command.text, command.expected_version, STORE_TIMEOUT_MS
+            ),
         )
         self._inbox.put(StateSwapped(self.clock.now_ms(), command.move, answer))
--- a/cowsliploom/daemons/tests/test_claims_task.py
+++ b/cowsliploom/daemons/tests/test_claims_task.py
@@ -1,6 +1,5 @@
 """The claims task over a store in memory, with real threads."""
 
-import threading
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
@@ -9,41 +8,21 @@
 from cowsliploom.adapters import SystemClock
 from cowsliploom.coordination import Granted, InFlight, Mismatch, Replay, StoreOut
 from cowsliploom.daemons._claims_task import ClaimsTask
-from cowsliploom.ports import Absent, Conflict, Swapped, Unanswered
-from cowsliploom.protocol import StoredValue
+from cowsliploom.standins import MemoryStore, StoreFaults, StoreMode
 
 WAIT_S = 10
 
 
-class MemoryStore:
-    """A store in memory that can be switched off."""
-
-    def __init__(self):
-        self.lock = threading.Lock()
-        self.values = {}
-        self.out = False
+class BrokenStore:
+    """A store whose adapter has a bug."""
 
     def read(self, key, timeout_ms):
-        if self.out:
-            return Unanswered('store.read', 'store', maybe_applied=False, reason='out')
-        with self.lock:
-            version, text = self.values.get(key, (0, ''))
-        return StoredValue(key, version, text, 1.0) if version else Absent(key)
-
-    def swap(self, key, text, expected_version, timeout_ms):
-        if self.out:
-            return Unanswered('store.swap', 'store', maybe_applied=False, reason='out')
-        with self.lock:
-            version = self.values.get(key, (0, ''))[0]
-            if version != expected_version:
-                return Conflict(version)
-            self.values[key] = (version + 1, text)
-            return Swapped(version + 1)
+        raise ValueError('a bug')
 
 
 @pytest.fixture
-def store():
-    return MemoryStore()
+def store(clock):
+    return MemoryStore(clock)
 
 
 @pytest.fixture
@@ -81,12 +60,17 @@
 
 
 def test_store_out_is_said_in_time(store, clock, claims):
-    store.out = True
+    store.faults = StoreFaults(StoreMode.DOWN)
     refused = ask(claims, clock)
     assert isinstance(refused, StoreOut)
     assert refused.ran == 'no'
 
 
+def test_store_that_raises_is_an_outage(clock):
+    with ClaimsTask(BrokenStore(), clock, 'entry-1') as broken:
+        assert isinstance(ask(broken, clock), StoreOut)
+
+
 def test_many_daemons_grant_one_claim(store, clock):
     with ExitStack() as stack:
         tasks = [
--- a/cowsliploom/daemons/tests/test_rollout_task.py
+++ b/cowsliploom/daemons/tests/test_rollout_task.py
@@ -1,46 +1,18 @@
 """The rollout task over a store in memory, with real threads."""
 
-import threading
 import time
 
 import pytest
 
 from cowsliploom.adapters import SystemClock
 from cowsliploom.daemons._rollout_task import RolloutTask
-from cowsliploom.ports import Absent, Conflict, Swapped
-from cowsliploom.protocol import LeaseResult, StoredValue
 from cowsliploom.rollout.tests.moves_world import configuration
 from cowsliploom.routing import RecordSample
+from cowsliploom.standins import MemoryStore
 
 WAIT_S = 20
 
 
-class MemoryStore:
-    """A store in memory with one lease that its first asker holds."""
-
-    def __init__(self):
-        self.lock = threading.Lock()
-        self.values = {}
-        self.holder = ''
-
-    def lease(self, name, call, timeout_ms):
-        self.holder = self.holder or call.holder
-        return LeaseResult(name, self.holder, 1, 1e12, 1000.0)
-
-    def read(self, key, timeout_ms):
-        with self.lock:
-            version, text = self.values.get(key, (0, ''))
-        return StoredValue(key, version, text, 1000.0) if version else Absent(key)
-
-    def swap(self, key, text, expected_version, timeout_ms):
-        with self.lock:
-            version = self.values.get(key, (0, ''))[0]
-            if version != expected_version:
-                return Conflict(version)
-            self.values[key] = (version + 1, text)
-            return Swapped(version + 1)
-
-
 class Daemon:
     """A task with what it said, and gossip to the others."""
 
@@ -71,7 +43,7 @@
 
 @pytest.fixture
 def fleet():
-    store, daemons = MemoryStore(), []
+    store, daemons = MemoryStore(SystemClock()), []
     for number in range(3):
         Daemon(f'entry-{number}', store, daemons)
     for daemon in daemons:
