Use a lease no longer than the store says, and step down on a later token

Cause: a lease answer that names this daemon as holder without renewing it (a lost earlier answer) was taken for a full life; and a controller that heard of a state with a higher token went on until its next read.

Ruled out: trusting the granted life alone.

--- a/cowsliploom/rollout/_controller.py
+++ b/cowsliploom/rollout/_controller.py
@@ -145,8 +145,11 @@
 
     def _hear(self, heard: ShareHeard) -> None:
         watched = self._watched.get(heard.move)
-        if watched is not None and heard.version > watched.version:
-            self._keep(replace(watched, state=heard.state, version=heard.version))
+        if watched is None or heard.version <= watched.version:
+            return
+        if heard.state.token > self._leadership.token:
+            self._leadership.step_down()
+        self._keep(replace(watched, state=heard.state, version=heard.version))
 
     def _take_read(self, answered: StateRead) -> tuple[ControllerCommand, ...]:
         watched = self._watched.get(answered.move)
--- a/cowsliploom/rollout/_leadership.py
+++ b/cowsliploom/rollout/_leadership.py
@@ -67,7 +67,8 @@
     def _hold(self, answered: LeaseAnswered, granted: LeaseResult) -> bool:
         is_new = granted.token != self.token
         self.token = granted.token
-        self._until_ms = answered.sent_ms + LEASE_TTL_MS * LEASE_USABLE
+        life_ms = min(LEASE_TTL_MS, granted.expires_store_ms - granted.store_ms)
+        self._until_ms = answered.sent_ms + life_ms * LEASE_USABLE
         self._next_call_ms = answered.sent_ms + RENEW_MS
         self._store_lead_ms = granted.store_ms - answered.now_ms
         return is_new
--- a/cowsliploom/rollout/tests/test_controller.py
+++ b/cowsliploom/rollout/tests/test_controller.py
@@ -1,10 +1,12 @@
 """The controller under lost answers, races, pauses and a store that is out."""
 
+from dataclasses import replace
+
 import msgspec
 import pytest
 
 from cowsliploom.ports import Unanswered
-from cowsliploom.protocol import StoredValue
+from cowsliploom.protocol import LeaseResult, StoredValue
 from cowsliploom.rollout import (
     SHARES,
     AnnounceFact,
@@ -18,6 +20,7 @@
     MovesDeclared,
     MoveStatus,
     ReadState,
+    ShareHeard,
     StateRead,
     StateSwapped,
     SwapState,
@@ -141,6 +144,23 @@
     assert not player.controller.is_leader(10_000)
 
 
+def test_controller_steps_down_when_it_hears_of_a_later_one():
+    player = Player(FakeStore(), 'a')
+    run([player], 0, 10_000)
+    state = replace(player.store.state(), token=7)
+    player.take(ShareHeard(10_000, 'move', state, version=9))
+    assert not player.controller.is_leader(10_000)
+
+
+def test_lease_that_is_not_renewed_is_used_only_while_it_lasts():
+    player = Player(FakeStore(), 'a')
+    call = player.controller.step(ControllerTick(0, {}))[0]
+    late = LeaseResult('lease', 'a', 1, expires_store_ms=1000, store_ms=0)
+    player.take(LeaseAnswered(10, call.sent_ms, late))
+    assert player.controller.is_leader(500)
+    assert not player.controller.is_leader(1000)
+
+
 def test_store_out_freezes_the_share():
     store = FakeStore()
     player = Player(store)
