--- a/cowsliploom/coordination/_claims_book.py
+++ b/cowsliploom/coordination/_claims_book.py
@@ -11,6 +11,7 @@
     SegmentSwapped,
     choose_segment,
 )
+from cowsliploom.coordination._claims_outage import StoreOutage
 from cowsliploom.coordination._claims_writer import SegmentWriter
 
 
@@ -40,6 +41,7 @@
 
     def __init__(self, owner: str) -> None:
         self.owner = owner
+        self._outage = StoreOutage(owner)
         self._writers: dict[int, SegmentWriter] = {}
 
     def __len__(self) -> int:
@@ -61,7 +63,7 @@
     def _pump(self, segment: int, event: ClaimEvent) -> tuple[ClaimCommand, ...]:
         writer = self._writers.get(segment)
         if writer is None:
-            writer = SegmentWriter(segment, self.owner)
+            writer = SegmentWriter(segment, self.owner, self._outage)
             self._writers[segment] = writer
         writer.take(event)
         return writer.pump(event.now_ms)
--- a/cowsliploom/coordination/_claims_open.py
+++ b/cowsliploom/coordination/_claims_open.py
@@ -25,7 +25,7 @@
 ASKS_MAX = 256  # open claims of one daemon in one segment
 UPDATES_MAX = 1024  # outcomes kept through a store outage, a segment
 UNCLEAR_MAX = 256  # refused claims whose write may still land, a segment
-OUTAGE_BACKOFF_MS = 500  # between tries while the store is out
+RETRY_AFTER_MS = 1000  # told to callers while the store is out
 NOT_TRIED = -1  # version of a claim that no write has carried
 
 
@@ -217,7 +217,7 @@
         self._decided.append(Decided(ask.ticket, decision))
 
     def _refuse(self, ask: Ask, step: str, reason: str) -> None:
-        self._decide(ask, StoreOut(step, reason, OUTAGE_BACKOFF_MS))
+        self._decide(ask, StoreOut(step, reason, RETRY_AFTER_MS))
         if ask.tried_version == NOT_TRIED:
             return
         self._unclear[ask.record.claim_id] = Unclear(ask.grant(), ask.tried_version)
--- a/cowsliploom/coordination/_claims_writer.py
+++ b/cowsliploom/coordination/_claims_writer.py
@@ -18,11 +18,11 @@
     SwapSegment,
 )
 from cowsliploom.coordination._claims_open import (
-    OUTAGE_BACKOFF_MS,
     OpenClaims,
     SegmentView,
     Update,
 )
+from cowsliploom.coordination._claims_outage import StoreOutage
 from cowsliploom.coordination._claims_segment import (
     age_records,
     decode_records,
@@ -32,6 +32,7 @@
 from cowsliploom.protocol import StoredValue
 
 READ_TRIES = 2  # one lost answer is not an outage
+UNREADABLE_MS = 5000  # between looks at a segment that isn't one
 REREAD_MS = 30_000  # an older copy is read again, so that claims expire
 NEVER_MS = float('-inf')
 EMPTY = SegmentView(version=0, records={}, size_bytes=0)
@@ -54,17 +55,20 @@
         Number of the segment.
     owner : str
         Name and incarnation of the daemon.
+    outage : StoreOutage
+        Shared by the writers of all segments.
     """
 
-    def __init__(self, segment: int, owner: str) -> None:
+    def __init__(self, segment: int, owner: str, outage: StoreOutage) -> None:
         self.segment = segment
+        self._outage = outage
         self._open = OpenClaims(owner)
         self._phase = _Phase.IDLE
         self._view = EMPTY
         self._draft = EMPTY
         self._read_ms = NEVER_MS
         self._read_failures = 0
-        self._out_until_ms = NEVER_MS
+        self._unreadable_until_ms = NEVER_MS
 
     def __len__(self) -> int:
         """Return how many claims, outcomes and unclear writes are not done."""
@@ -74,7 +78,7 @@
         """Take an event that concerns this segment."""
         match event:
             case ClaimAsked(now_ms=now_ms):
-                self._open.ask(event, store_out=now_ms < self._out_until_ms)
+                self._open.ask(event, store_out=self._is_out(now_ms))
             case OutcomeKnown(granted=granted, outcome=outcome):
                 self._open.update(Update(granted, ClaimState.FINISHED, outcome))
             case NotRunKnown(granted=granted):
@@ -92,7 +96,7 @@
         """Tell whether the writer may be dropped with its copy of the segment."""
         if self._open or self._phase is not _Phase.IDLE:
             return False
-        return now_ms >= max(self._out_until_ms, self._read_ms + REREAD_MS)
+        return now_ms >= max(self._unreadable_until_ms, self._read_ms + REREAD_MS)
 
     def pump(self, now_ms: float) -> tuple[ClaimCommand, ...]:
         """Start the next call if there is need; return decisions and the call."""
@@ -100,18 +104,21 @@
         return (*self._open.take_decided(), *call)
 
     def _next_call(self, now_ms: float) -> tuple[ClaimCommand, ...]:
-        if self._phase is not _Phase.IDLE or now_ms < self._out_until_ms:
-            return ()
-        if not self._open:
+        if self._phase is not _Phase.IDLE or not self._open:
             return ()
         self._open.settle(now_ms, self._view)
+        if self._is_out(now_ms):
+            self._open.refuse_all('the store does not answer')
+            return ()
         if self._must_read(now_ms):
+            self._outage.start_call(now_ms)
             self._phase = _Phase.READING
             self._read_ms = now_ms
             return (ReadSegment(self.segment),)
         draft = self._open.draft(now_ms, self._view)
         if draft is None:
             return ()
+        self._outage.start_call(now_ms)
         self._phase = _Phase.WRITING
         self._draft = draft
         text = encode_records(draft.records)
@@ -130,15 +137,18 @@
             case Unanswered(reason=reason):
                 self._fail_read(now_ms, reason)
             case Absent():
+                self._outage.succeed()
                 self._view = EMPTY
                 self._read_failures = 0
             case StoredValue():
+                self._outage.succeed()
                 self._decode(now_ms, answer)
 
     def _take_swap(self, answer: Swapped | Conflict | Unanswered) -> None:
         self._phase = _Phase.IDLE
         match answer:
             case Swapped(version):
+                self._outage.succeed()
                 self._view = replace(self._draft, version=version)
             case Conflict() | Unanswered():
                 self._forget()
@@ -148,8 +158,9 @@
         try:
             records = decode_records(answer.value)
         except msgspec.MsgspecError as error:
-            self._read_failures = READ_TRIES
-            self._fail_read(now_ms, f'segment {self.segment} is unreadable: {error}')
+            self._forget()
+            self._unreadable_until_ms = now_ms + UNREADABLE_MS
+            self._open.refuse_all(f'segment {self.segment} is unreadable: {error}')
             return
         self._read_failures = 0
         self._view = SegmentView(
@@ -166,7 +177,10 @@
     def _fail_read(self, now_ms: float, reason: str) -> None:
         self._forget()
         self._read_failures += 1
-        if self._read_failures >= READ_TRIES:
+        if self._read_failures >= READ_TRIES or self._outage.is_failing:
             self._read_failures = 0
-            self._out_until_ms = now_ms + OUTAGE_BACKOFF_MS
+            self._outage.fail(now_ms)
             self._open.refuse_all(reason)
+
+    def _is_out(self, now_ms: float) -> bool:
+        return now_ms < self._unreadable_until_ms or self._outage.is_out(now_ms)
--- a/cowsliploom/coordination/tests/test_claims.py
+++ b/cowsliploom/coordination/tests/test_claims.py
@@ -106,6 +106,26 @@
     assert len(world.runs) <= 1
 
 
+def test_store_out_gets_few_calls_whatever_waits():
+    world = World(daemons=1)
+    for number in range(200):
+        world.ask(0, key=f'key-{number}')
+    while len(world.granted) < 100:
+        world.answer()
+    world.out = True
+    world.settle()
+    before = world.store_calls
+    for _ in range(500):
+        world.ask(0, key='late')
+        world.settle(rounds=1)
+        world.advance(100)
+    assert world.store_calls - before <= 30
+    world.out = False
+    world.settle(rounds=400)
+    assert not len(world.books[0])
+    assert not world.lies()
+
+
 def test_crash_before_claim_lets_another_entry_run():
     world = World()
     world.ask(0)
