--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -1,6 +1,5 @@
 """What the entry daemon's tasks tell one another, on the loop's thread."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -12,21 +11,25 @@
     FactHeard,
     Member,
     MembersChanged,
-    OwnershipChanged as NodeOwnershipChanged,
     Superseded,
     WatchedServer,
     chosen_watchers,
 )
+from cowsliploom.coordination import (
+    OwnershipChanged as NodeOwnershipChanged,
+)
 from cowsliploom.daemons._entry_config import ConfigurationWatch
+from cowsliploom.daemons._entry_health import HealthNews
 from cowsliploom.daemons._entry_loop import RouterTask
 from cowsliploom.daemons._entry_messages import ConfigurationOffered
-from cowsliploom.daemons._entry_probe import ProbeSchedule
 from cowsliploom.daemons._entry_vms import VmListReader
 from cowsliploom.daemons._peer_task import PeerEvent, PeerTask
+from cowsliploom.daemons._rollout_task import RolloutTask
 from cowsliploom.ports import Clock
-from cowsliploom.protocol import HealthReport, VmInfo, VmList, VmState
+from cowsliploom.protocol import VmInfo, VmList, VmState
 from cowsliploom.resources import (
     Configuration,
+    Kind,
     ServiceSpec,
     decode_configuration,
     encode_configuration,
@@ -35,6 +38,8 @@
     EntriesCounted,
     HealthReported,
     OwnershipChanged,
+    ProbeFailed,
+    RecordSample,
     ServersLeaving,
 )
 
@@ -52,6 +57,7 @@
     peers: PeerTask
     watch: ConfigurationWatch
     vms: VmListReader
+    rollout: RolloutTask
 
 
 def watched_servers(configuration: Configuration) -> tuple[WatchedServer, ...]:
@@ -89,25 +95,21 @@
         This entry VM.
     clock : Clock
         Clock of the router's events.
-    on_fact : callable
-        Takes the facts that version moves are made of.
 
     Notes
     -----
-    Every method but ``take_vm_list`` runs on the loop's thread.
+    Every method runs on the loop's thread.
     """
 
-    def __init__(
-        self, member: Member, clock: Clock, on_fact: Callable[[Fact], None]
-    ) -> None:
+    def __init__(self, member: Member, clock: Clock) -> None:
         self._member = member
         self._clock = clock
-        self._on_fact = on_fact
+        self._entries = 1
+        self._configuration = Configuration()
+        self._moving = False
         self._log = PartLog('hub')
-        self._schedule = ProbeSchedule()
-        self._owned: frozenset[str] = frozenset()
+        self.health = HealthNews()
         self._leaving: frozenset[str] = frozenset()
-        self._reports: dict[str, HealthReport] = {}
         self._generations: dict[str, int] = {}
         self._wiring: Wiring | None = None
 
@@ -115,10 +117,6 @@
         """Take the tasks to pass news between."""
         self._wiring = wiring
 
-    def due_probes(self) -> tuple[str, ...]:
-        """Return the backend servers to probe now."""
-        return self._schedule.due(self._clock.now_ms())
-
     def take_peer_event(self, event: PeerEvent) -> None:
         """Take what the peers tell."""
         match event:
@@ -136,9 +134,13 @@
     def take_applied(self, configuration: Configuration) -> None:
         """Spread a configuration that came into force here."""
         servers = watched_servers(configuration)
-        self._schedule.declare(
-            self._clock.now_ms(), tuple(server.server for server in servers)
+        names = tuple(server.server for server in servers)
+        self.health.declare(self._clock.now_ms(), names)
+        self._configuration = configuration
+        self._moving = any(
+            resource.kind is Kind.VERSION_MOVE for resource in configuration.resources
         )
+        self._configure_rollout()
         if self._wiring is not None:
             self._wiring.peers.watch_servers(servers)
             self._wiring.peers.announce_configuration(
@@ -150,16 +152,16 @@
             resources=len(configuration.resources),
         )
 
-    def take_health(self, reported: HealthReported) -> None:
-        """Tell the peers when a server that this entry VM owns has changed."""
-        known = self._reports.get(reported.server)
-        if known == reported.report:
-            return
-        self._reports[reported.server] = reported.report
-        if reported.server in self._owned:
-            self._announce(
-                HEALTH_PREFIX + reported.server, msgspec.json.encode(reported.report)
-            )
+    def take_sample(self, sample: RecordSample) -> None:
+        """Pass evidence on while there is a version move."""
+        if self._moving and self._wiring is not None:
+            self._wiring.rollout.sample(sample)
+
+    def take_probe(self, probed: HealthReported | ProbeFailed) -> None:
+        """Take a server's health, or that it does not answer."""
+        news = self.health.take_probe(probed)
+        if news is not None:
+            self._announce(HEALTH_PREFIX + probed.server, news)
 
     def take_vm_list(self, listed: VmList) -> None:
         """Take the platform's list of VMs."""
@@ -181,12 +183,22 @@
         chosen = self._member.name in watchers
         self._wiring.watch.choose(watching=chosen)
         self._wiring.vms.choose(chosen=chosen)
+        self._wiring.rollout.candidate(is_candidate=chosen)
+        self._entries = entries
+        self._configure_rollout()
         self._log.write('Members changed.', live=len(live), watcher=chosen)
 
+    def _configure_rollout(self) -> None:
+        if self._wiring is not None:
+            self._wiring.rollout.configuration(self._configuration, self._entries)
+
+    def _tell_rollout_of(self, fact: Fact) -> None:
+        if self._wiring is not None:
+            self._wiring.rollout.fact_heard(fact.key, fact.generation, fact.blob)
+
     def _take_ownership(self, owned: frozenset[str]) -> None:
         now_ms = self._clock.now_ms()
-        self._owned = owned
-        self._schedule.own(now_ms, owned)
+        self.health.own(now_ms, owned)
         if self._wiring is not None:
             self._wiring.router.take(OwnershipChanged(now_ms, owned))
 
@@ -208,12 +220,11 @@
                 names = msgspec.json.decode(fact.blob, type=list[str])
                 self._take_leaving(frozenset(names))
             case _:
-                self._on_fact(fact)
+                self._tell_rollout_of(fact)
 
     def _take_told_health(self, server: str, blob: bytes) -> None:
-        report = msgspec.json.decode(blob, type=HealthReport)
-        self._reports[server] = report
-        if self._wiring is not None and server not in self._owned:
+        report = self.health.take_told(server, blob)
+        if report is not None and self._wiring is not None:
             now_ms = self._clock.now_ms()
             self._wiring.router.take(HealthReported(now_ms, server, report))
 
--- a/cowsliploom/routing/_dispatcher.py
+++ b/cowsliploom/routing/_dispatcher.py
@@ -1,10 +1,16 @@
 """Sending of calls: at once where a server has room, else from a queue."""
 
 from cowsliploom.protocol import RunCall, SearchCall
-from cowsliploom.routing._admission import fits, note_expired, note_served
-from cowsliploom.routing._budget import earn, spend
+from cowsliploom.routing._admission import (
+    WaitEstimate,
+    note_departure,
+    note_empty,
+    note_expired,
+    note_served,
+)
 from cowsliploom.routing._choice import ReplicaChoice
 from cowsliploom.routing._context import Context
+from cowsliploom.routing._extra_load import ExtraLoad
 from cowsliploom.routing._messages import CancelSent, SendRun, SendSearch
 from cowsliploom.routing._outcomes import Outcomes
 from cowsliploom.routing._queue import Waiting
@@ -18,7 +24,7 @@
     Work,
 )
 
-OVERLOAD_MS = 100.0  # a shed call bars hedges and retries for this time
+HEDGE_SPARE = 1  # hedges are bounded by their budget, not by the limit alone
 RECENT_CALLS_MAX = 20_000  # ended calls remembered to tell late replies
 
 
@@ -42,6 +48,7 @@
         self._choice = choice
         self._outcomes = outcomes
         self._order = 0
+        self.extra = ExtraLoad(context)
         self._ended: dict[str, Call] = {}
         self.calls: dict[str, Call] = {}
         self.backlogged: dict[str, ServiceTrack] = {}
@@ -59,16 +66,41 @@
 
     def wait(self, work: Work) -> None:
         """Let a shed request wait for the limit that fell because of it."""
-        self._enqueue(work, Attempt.RETRY)
+        self._enqueue(work, Attempt.REQUEUE)
 
     def hedge(self, work: Work, now_ms: float) -> bool:
-        """Send a second attempt if another replica has room; tell whether."""
-        server = self._choice.choose(work, now_ms)
+        """Send another attempt to another replica with room; tell whether.
+
+        Notes
+        -----
+        No such attempt while requests wait for the service: it would add load.
+        """
+        if self.extra.is_overloaded(work.service, now_ms):
+            return False
+        server = self._choice.choose(work, now_ms, HEDGE_SPARE)
         if server is None:
             return False
-        self.pay(work.service)
-        work.is_hedged = True
-        self.send(work, server, now_ms, Attempt.HEDGE)
+        self._send_hedge(work, server, now_ms)
+        return True
+
+    def resend(self, work: Work, now_ms: float) -> bool:
+        """Cancel the oldest call and send it again; tell whether.
+
+        Notes
+        -----
+        What held the call up may not hold up another, and the calls in flight do
+        not grow, so a queue behind the slow call is a reason for it, not against.
+        """
+        oldest = work.calls[0]
+        server = oldest.server
+        move = work.service.move
+        admitted = move is None or move.admits(server.version)
+        if not admitted or server.is_cold or not server.is_reachable(now_ms):
+            return False
+        if self.extra.is_shedding(work.service, now_ms):
+            return False
+        self.cancel(oldest, now_ms)
+        self._send_hedge(work, server, now_ms)
         return True
 
     def drain(self, service: ServiceTrack, now_ms: float) -> None:
@@ -84,8 +116,9 @@
             if server is None:
                 return
             queue.pop()
-            service.estimate = note_served(service.estimate)
+            _note_served(service, work.urgency, now_ms)
             self.send(work, server, now_ms, work.attempt)
+        service.departures = note_empty(service.departures)
         self.backlogged.pop(service.name, None)
 
     def drain_all(self, now_ms: float) -> None:
@@ -132,48 +165,29 @@
         """Return an ended call once, for an event that came late."""
         return self._ended.pop(call_id, None)
 
-    def earn(self, services: list[ServiceTrack]) -> None:
-        """Earn budget for the first attempts of one query."""
-        context = self._context
-        context.budget = earn(context.budget, len(services))
-        for service in services:
-            service.budget = earn(service.budget, 1)
-
-    def pay(self, service: ServiceTrack) -> None:
-        """Pay for one hedge or retry."""
-        self._context.budget = spend(self._context.budget)
-        service.budget = spend(service.budget)
-
-    def may_add_load(self, work: Work, now_ms: float) -> bool:
-        """Tell whether a hedge or retry is allowed: budget, time and no overload."""
-        service = work.service
-        return (
-            self._context.budget.may_spend
-            and service.budget.may_spend
-            and not self.is_overloaded(service, now_ms)
-            and work.deadline_ms - now_ms >= service.typical_ms
-        )
-
-    def is_overloaded(self, service: ServiceTrack, now_ms: float) -> bool:
-        """Tell whether requests wait for the service or were shed just now."""
-        return len(service.queue) > 0 or now_ms - service.shed_ms < OVERLOAD_MS
-
-    def wait_ms(self, service: ServiceTrack, urgency: int, now_ms: float) -> float:
+    def wait_ms(self, service: ServiceTrack, urgency: int) -> float:
         """Return the expected wait of a new request, in milliseconds."""
-        parallel = self._choice.parallel_calls(service, now_ms)
         ahead = service.queue.ahead_of(urgency)
-        return service.estimate.wait_ms(ahead, parallel, service.typical_ms)
+        interval_ms = service.departures.interval_ms or service.typical_ms
+        estimate = service.estimates.get(urgency, WaitEstimate())
+        return estimate.wait_ms(ahead, interval_ms)
 
     def _is_over(self, work: Work, now_ms: float) -> bool:
         """Tell whether a waiting request is answered, out of time or unservable."""
         if work.is_done:
             return True
         service = work.service
-        if fits(0, service.typical_ms, work.deadline_ms - now_ms):
+        if work.deadline_ms - now_ms >= service.typical_ms:
             return not self._may_serve(work, now_ms)
-        service.estimate = note_expired(service.estimate)
+        estimate = service.estimates.get(work.urgency, WaitEstimate())
+        service.estimates[work.urgency] = note_expired(estimate)
         return True
 
+    def _send_hedge(self, work: Work, server: ServerTrack, now_ms: float) -> None:
+        self.extra.pay(work.service)
+        work.hedges += 1
+        self.send(work, server, now_ms, Attempt.HEDGE)
+
     def _may_serve(self, work: Work, now_ms: float) -> bool:
         return self._choice.may_serve(work.service, work.snapshot, now_ms, work.tried)
 
@@ -188,6 +202,13 @@
             self._context.lost_works.append(given_up.work)
 
 
+def _note_served(service: ServiceTrack, urgency: int, now_ms: float) -> None:
+    service.departures = note_departure(service.departures, now_ms)
+    estimate = service.estimates.get(urgency)
+    if estimate is not None:
+        service.estimates[urgency] = note_served(estimate)
+
+
 def _command(call: Call, now_ms: float) -> SendSearch | SendRun:
     work = call.work
     parent = work.parent
