--- a/cowsliploom/resources/_log.py
+++ b/cowsliploom/resources/_log.py
@@ -171,9 +171,9 @@
         again = _Again()
         round_number = 0
         while self.clock.now_ms() < deadline_ms:
-            if again.failure is not None:
+            if round_number > 0:
                 self._back_off(round_number, deadline_ms)
-                round_number += 1
+            round_number += 1
             outcome = self._try(change, again)
             if not isinstance(outcome, _Again):
                 return outcome
