Look up who is behind in a sorted fleet, and leave out VMs that start

Revisions are sorted once per reading and searched; VMs without a configuration take no callers and aren't counted.

--- a/cowsliploom/daemons/_operator_fleet.py
+++ b/cowsliploom/daemons/_operator_fleet.py
@@ -9,11 +9,13 @@
 from urllib3.exceptions import HTTPError
 
 from cowsliploom.daemons._operator_status import (
+    FleetIndex,
     FleetStatus,
     FleetUnknown,
     MoveStatus,
     MoveUnknown,
     StatusSnapshot,
+    index_fleet,
 )
 from cowsliploom.ports import Absent, Clock, Store
 from cowsliploom.protocol import StoredValue
@@ -48,18 +50,18 @@
         self._entries = list(entries)
         self._pool = urllib3.PoolManager(retries=False)
 
-    def read(self) -> FleetStatus | FleetUnknown:
+    def read(self) -> FleetIndex | FleetUnknown:
         """Return the fleet's status, or what the last entry VM asked said."""
         failure = FleetUnknown('no entry VM is configured (--entry)')
         for place, address in enumerate(self._entries):
             found = self._ask(address)
-            if isinstance(found, FleetStatus):
+            if isinstance(found, FleetIndex):
                 self._entries.insert(0, self._entries.pop(place))
                 return found
             failure = found
         return failure
 
-    def _ask(self, address: str) -> FleetStatus | FleetUnknown:
+    def _ask(self, address: str) -> FleetIndex | FleetUnknown:
         try:
             response = self._pool.request(
                 'GET',
@@ -74,7 +76,7 @@
         if response.status != STATUS_OK:
             return FleetUnknown(f'entry VM {address}: status {response.status}')
         try:
-            return msgspec.json.decode(body, type=FleetStatus)
+            return index_fleet(msgspec.json.decode(body, type=FleetStatus))
         except msgspec.MsgspecError as error:
             return FleetUnknown(f'entry VM {address}: {error}')
 
@@ -101,7 +103,7 @@
         self.store = store
         self.clock = clock
         self.timeout_ms = timeout_ms
-        self._fleet_status: FleetStatus | FleetUnknown = FleetUnknown('not asked yet')
+        self._fleet_status: FleetIndex | FleetUnknown = FleetUnknown('not asked yet')
         self._fleet_read_ms: float | None = None
 
     def __call__(self, asked: StatusAsked) -> None:
@@ -114,7 +116,7 @@
         found = {name: move for name, move in statuses.items() if move is not None}
         return StatusSnapshot(self._read_fleet(), found)
 
-    def _read_fleet(self) -> FleetStatus | FleetUnknown:
+    def _read_fleet(self) -> FleetIndex | FleetUnknown:
         now_ms = self.clock.now_ms()
         read_ms = self._fleet_read_ms
         if read_ms is None or now_ms - read_ms > FLEET_REUSE_MS:
--- a/cowsliploom/daemons/_operator_status.py
+++ b/cowsliploom/daemons/_operator_status.py
@@ -1,5 +1,6 @@
 """Status of resources: where they are in force, and how version moves stand."""
 
+import bisect
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -26,6 +27,45 @@
     daemons: tuple[DaemonRevision, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class FleetIndex:
+    """Hold the fleet's revisions in rising order, so that one look finds who lags.
+
+    Parameters
+    ----------
+    revisions : tuple of int
+        Revisions in force, the lowest first.
+    names : tuple of str
+        Entry VMs in the same order, as ``data centre/name``.
+    """
+
+    revisions: tuple[int, ...]
+    names: tuple[str, ...]
+
+
+def index_fleet(fleet: FleetStatus) -> FleetIndex:
+    """Index a fleet's status.
+
+    Parameters
+    ----------
+    fleet : FleetStatus
+        Revisions as gossip gathered them.
+
+    Returns
+    -------
+    FleetIndex
+        Without entry VMs that have no configuration yet: they take no callers, and
+        each start of one would else put every resource behind.
+    """
+    ordered = sorted(
+        (daemon.applied_revision, f'{daemon.data_centre}/{daemon.name}')
+        for daemon in fleet.daemons
+        if daemon.applied_revision > 0
+    )
+    revisions = tuple(revision for revision, _ in ordered)
+    return FleetIndex(revisions, tuple(name for _, name in ordered))
+
+
 @dataclass(frozen=True, slots=True)
 class FleetUnknown:
     """Tell why the fleet's status is not known."""
@@ -50,13 +90,13 @@
 
     Parameters
     ----------
-    fleet : FleetStatus or FleetUnknown
+    fleet : FleetIndex or FleetUnknown
         Revisions in force.
     moves : mapping of str to MoveStatus
         Status by name of the version move; a move not begun has none.
     """
 
-    fleet: FleetStatus | FleetUnknown = field(default=FleetUnknown(''))
+    fleet: FleetIndex | FleetUnknown = field(default=FleetUnknown(''))
     moves: Mapping[str, MoveStatus] = field(default_factory=dict)
 
 
@@ -88,36 +128,32 @@
     move: msgspec.Raw | None = None
 
 
-def revision_status(revision: int, fleet: FleetStatus | FleetUnknown) -> ResourceStatus:
+def revision_status(revision: int, fleet: FleetIndex | FleetUnknown) -> ResourceStatus:
     """Return where a revision is in force.
 
     Parameters
     ----------
     revision : int
         Revision of a resource or of the whole configuration.
-    fleet : FleetStatus or FleetUnknown
+    fleet : FleetIndex or FleetUnknown
         Revisions in force.
 
     Returns
     -------
     ResourceStatus
-        Status without a version move.
+        Status without a version move; the ones furthest behind are named first.
     """
     match fleet:
         case FleetUnknown(reason):
             return ResourceStatus(unknown=reason)
-        case FleetStatus(()):
-            return ResourceStatus(unknown='the entry VM knows of no live entry VM')
-    behind = sorted(
-        f'{daemon.data_centre}/{daemon.name}'
-        for daemon in fleet.daemons
-        if daemon.applied_revision < revision
-    )
+        case FleetIndex(()):
+            return ResourceStatus(unknown='no entry VM has a configuration yet')
+    behind_count = bisect.bisect_left(fleet.revisions, revision)
     return ResourceStatus(
-        in_force_everywhere=not behind,
-        behind=tuple(behind[:BEHIND_LISTED_MAX]),
-        behind_count=len(behind),
-        daemons=len(fleet.daemons),
+        in_force_everywhere=behind_count == 0,
+        behind=fleet.names[: min(behind_count, BEHIND_LISTED_MAX)],
+        behind_count=behind_count,
+        daemons=len(fleet.names),
     )
 
 
--- a/cowsliploom/daemons/_operator_stream.py
+++ b/cowsliploom/daemons/_operator_stream.py
@@ -1,7 +1,7 @@
 """Watch streams: JSON lines of events, status and bookmarks."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cowsliploom.daemons._operator_documents import (
     BookmarkLine,
@@ -127,8 +127,10 @@
         for resource in self._covered(state):
             status = resource_status(resource, state.status)
             key = resource_key(resource)
-            if self._told.get(key, ResourceStatus()) != status:
-                self._told[key] = status
+            # The number of entry VMs alone is no news: it changes with each start.
+            news = replace(status, daemons=0)
+            if self._told.get(key, ResourceStatus()) != news:
+                self._told[key] = news
                 yield StatusLine(
                     resource.kind, resource.name, resource.revision, status
                 )
--- /dev/null
+++ b/cowsliploom/daemons/tests/test_operator_status.py
@@ -0,0 +1,74 @@
+"""Status names who is behind, at the letter's size too."""
+
+import itertools
+
+import msgspec
+import pytest
+
+from cowsliploom.daemons._operator_status import (
+    BEHIND_LISTED_MAX,
+    DaemonRevision,
+    FleetStatus,
+    FleetUnknown,
+    MoveUnknown,
+    ResourceStatus,
+    StatusSnapshot,
+    index_fleet,
+    resource_status,
+    revision_status,
+)
+from cowsliploom.resources import DataCentreSpec, Kind, Resource, VersionMoveSpec
+
+
+def fleet(*revisions):
+    return index_fleet(
+        FleetStatus(
+            tuple(
+                DaemonRevision(f'entry-{number}', 'de', revision)
+                for number, revision in enumerate(revisions)
+            )
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ('revisions', 'in_force', 'behind'),
+    [
+        ((5, 5, 9), True, ()),
+        ((5, 4, 9), False, ('de/entry-1',)),
+        ((4, 1, 9), False, ('de/entry-1', 'de/entry-0')),
+        ((5, 0), True, ()),
+        ((0, 0), None, ()),
+        ((), None, ()),
+    ],
+)
+def test_those_behind_are_named_the_furthest_first(revisions, in_force, behind):
+    status = revision_status(5, fleet(*revisions))
+    assert (status.in_force_everywhere, status.behind) == (in_force, behind)
+    assert bool(status.unknown) is (in_force is None)
+
+
+def test_long_list_is_cut_and_counted():
+    status = revision_status(2, fleet(*itertools.repeat(1, 2600)))
+    assert (len(status.behind), status.behind_count) == (BEHIND_LISTED_MAX, 2600)
+
+
+@pytest.mark.parametrize(
+    ('moves', 'move', 'unknown'),
+    [
+        ({}, None, ''),
+        ({'m': msgspec.Raw(b'{}')}, msgspec.Raw(b'{}'), ''),
+        ({'m': MoveUnknown('store down')}, None, 'move: store down'),
+    ],
+)
+def test_version_move_has_its_own_status(moves, move, unknown):
+    spec = VersionMoveSpec('s', 'v1', 'v2', '2030-01-31T18:00:00Z')
+    resource = Resource(Kind.VERSION_MOVE, 'm', spec, 1)
+    status = resource_status(resource, StatusSnapshot(fleet(1), moves))
+    assert (status.move, status.unknown) == (move, unknown)
+
+
+def test_status_that_nobody_told_is_unknown():
+    resource = Resource(Kind.DATA_CENTRE, 'de', DataCentreSpec(), 1)
+    snapshot = StatusSnapshot(FleetUnknown('no entry VM'))
+    assert resource_status(resource, snapshot) == ResourceStatus(unknown='no entry VM')
