--- a/cowsliploom/resources/_parsing.py
+++ b/cowsliploom/resources/_parsing.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 import msgspec
-from yaml import MappingNode, YAMLError, load_all
+from yaml import MappingNode, YAMLError
+from yaml import load_all as load_documents
 from yaml.constructor import ConstructorError
 
 from cowsliploom.resources._problems import InvalidResources, ResourceProblem
@@ -102,7 +103,7 @@
         The text is no YAML, is not UTF-8 or nests too deeply.
     """
     try:
-        parsed = list(load_all(text, Loader=_Loader))
+        parsed = list(load_documents(text, Loader=_Loader))
     except NAMED_ERRORS as error:
         raise _refuse(error, place, 'YAML or JSON in UTF-8') from error
     return _flatten(parsed)
