--- a/cowsliploom/routing/_fleet.py
+++ b/cowsliploom/routing/_fleet.py
@@ -18,7 +18,7 @@
 from cowsliploom.routing._queue import UrgencyQueue
 from cowsliploom.routing._replica import preference_factor
 from cowsliploom.routing._shares import change_share
-from cowsliploom.routing._snapshots import take_report
+from cowsliploom.routing._snapshots import SnapshotTable, keep_configured, take_report
 from cowsliploom.routing._tracks import Block, ServerTrack, ServiceTrack, Work
 from cowsliploom.routing._warmup import Cold, ColdCause, Warm, take_word
 
@@ -52,6 +52,11 @@
         self.services: dict[str, ServiceTrack] = {}
         self.generation = 0
 
+    @property
+    def table(self) -> SnapshotTable:
+        """Return what is known of snapshots."""
+        return self._choice.table
+
     def configure(self, configuration: Configuration, now_ms: float) -> None:
         """Take a configuration of a higher revision into use."""
         catalog = build_catalog(configuration)
@@ -70,6 +75,9 @@
             is_gone = self.servers.get(track.name) is not track
             track.block(Block.GONE, is_gone)
         self.services = {name: self._track_service(name) for name in catalog.services}
+        self._choice.table = keep_configured(
+            self._choice.table, catalog.servers, catalog.services
+        )
         self.change_shares(self._shares)
         self.count_entries(self._entries)
 
@@ -81,6 +89,7 @@
             slots = server.server.slots
             connections = self.connection_allowance(server.name)
             before = server.share
+            server.connections = connections
             server.share = fair_share(slots, allowance, self._entries)
             server.ceiling = min(max(server.share, slots), connections)
             first_limit = min(max(1, server.share), connections)
--- a/cowsliploom/routing/_query_calls.py
+++ b/cowsliploom/routing/_query_calls.py
@@ -9,6 +9,7 @@
 from cowsliploom.routing._queries import Queries
 from cowsliploom.routing._tracks import Attempt, Call, OpenQuery, Work
 
+EXPIRED_MEDIANS = 2  # with more medians left no call can have expired
 SHEDS_MAX = 5  # a sub-request shed more often meets an overload, not a burst
 ATTEMPTS_MAX = 4  # calls for one sub-request, the first included
 
@@ -107,11 +108,19 @@
             case RefusalReason.FAILED:
                 self._fail(call, now_ms)
             case RefusalReason.EXPIRED:
-                self._queries.lose(call.work, now_ms)
+                self._expire(call, now_ms)
             case _:
                 self._outcomes.take_not_run(call, reason, now_ms)
                 self._try_again(call.work, now_ms, Attempt.REROUTE)
 
+    def _expire(self, call: Call, now_ms: float) -> None:
+        """Take a refusal for lack of time; with time left the server errs."""
+        work = call.work
+        if work.deadline_ms - now_ms > EXPIRED_MEDIANS * work.service.typical_ms:
+            self._fail(call, now_ms)
+            return
+        self._queries.lose(work, now_ms)
+
     def _fail(self, call: Call, now_ms: float) -> None:
         self._outcomes.fail(call, now_ms)
         self._try_again(call.work, now_ms, Attempt.RETRY)
--- a/cowsliploom/routing/_snapshots.py
+++ b/cowsliploom/routing/_snapshots.py
@@ -1,6 +1,6 @@
 """Which server holds which index snapshot, and the snapshot a query pins."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field, replace
 
 from cowsliploom.protocol import DocRange, HealthReport, SnapshotInfo
@@ -90,6 +90,16 @@
     return SnapshotTable({**table.holdings, report.server: holding}, shards)
 
 
+def keep_configured(
+    table: SnapshotTable, servers: Collection[str], services: Collection[str]
+) -> SnapshotTable:
+    """Forget servers and services that are no longer configured."""
+    return SnapshotTable(
+        {name: held for name, held in table.holdings.items() if name in servers},
+        {name: shard for name, shard in table.shards.items() if name in services},
+    )
+
+
 def drop_snapshot(table: SnapshotTable, server: str, snapshot: int) -> SnapshotTable:
     """Note that a server no longer answers from a snapshot."""
     known = table.holdings.get(server, Holding())
--- a/cowsliploom/routing/_tracks.py
+++ b/cowsliploom/routing/_tracks.py
@@ -75,6 +75,7 @@
     limiter: Limiter
     share: float = 1
     ceiling: float = 1
+    connections: int = 1
     preference: float = 1
     view: ServerView = ServerView()
     in_flight: int = 0
@@ -128,6 +129,8 @@
             Calls beyond the adaptive limit; hedges, which are few, may take one.
         """
         in_flight = self.in_flight
+        if in_flight >= self.connections:
+            return False
         if now_ms < self.paused_until_ms or (self.failures and in_flight):
             return False  # after failures one call at a time tests the server
         is_fresh = now_ms - self.reported_ms <= fresh_ms
--- a/cowsliploom/routing/tests/test_servers.py
+++ b/cowsliploom/routing/tests/test_servers.py
@@ -6,11 +6,13 @@
 
 from cowsliploom.protocol import Ran, RefusalReason, ServerState
 from cowsliploom.routing import (
+    CancelSent,
     ConfigurationApplied,
     Coverage,
     EntriesCounted,
     FailureStep,
     HealthReported,
+    RecordSample,
     RefusalCause,
     Router,
     RouterSettings,
@@ -185,6 +187,47 @@
     assert seen['s0r0'] < 10
 
 
+def test_server_that_calls_fresh_work_expired_is_blamed():
+    driver = Driver(services=1)
+    driver.warm_up()
+    first = driver.ask()['s0']
+    again = only(driver.refuse(first, RefusalReason.EXPIRED), SendSearch)
+    assert [send.server for send in again] == ['s0r1']
+    assert not driver.all(RecordSample)[-1].ok
+
+
+def test_work_that_expired_for_lack_of_time_blames_nobody():
+    driver = Driver(services=1)
+    first = driver.ask()['s0']
+    driver.now_ms += 180
+    driver.refuse(first, RefusalReason.EXPIRED)
+    assert not driver.all(RecordSample)
+
+
+def test_calls_never_need_more_connections_than_allowed():
+    """A hedge may pass the limit, but it needs a connection as well."""
+    driver = Driver(services=1)
+    driver.warm_up()
+    driver.give(EntriesCounted(driver.now_ms, 24))
+    assert driver.router.connection_allowance('s0r1') == 1
+    driver.ask('slow-0')
+    driver.ask('slow-1')
+    driver.tick(3)
+    driver.tick(3)
+    open_calls = Counter(send.server for send in driver.all(SendSearch))
+    open_calls.subtract(cancel.server for cancel in driver.all(CancelSent))
+    assert max(open_calls.values()) == 1
+
+
+def test_replaced_servers_are_forgotten():
+    driver = Driver(services=3, replicas=3)
+    configuration = samples.make_configuration(2, 2, revision=2)
+    driver.give(ConfigurationApplied(driver.now_ms, configuration))
+    table = driver.router._fleet.table
+    assert sorted(table.holdings) == ['s0r0', 's0r1', 's1r0', 's1r1']
+    assert sorted(table.shards) == ['s0', 's1']
+
+
 def test_refused_connection_is_rerouted_without_budget_and_backs_off():
     driver = Driver(settings=RouterSettings(extra_load_ratio=0))
     send = driver.ask('one')['s0']
