Go on without a bottleneck service instead of refusing whole queries

Now late services that have lost servers or warm them up are left out of new queries; healthy late services still lead to a refusal.

--- a/cowsliploom/routing/_budget.py
+++ b/cowsliploom/routing/_budget.py
@@ -27,9 +27,9 @@
     tokens: float = 1
 
     @property
-    def fill_ratio(self) -> float:
-        """Return how full the budget is, from 0 to 1."""
-        return self.tokens / BURST_TOKENS
+    def is_full(self) -> bool:
+        """Tell whether the budget holds all that it can."""
+        return self.tokens >= BURST_TOKENS
 
     @property
     def may_spend(self) -> bool:
--- a/cowsliploom/routing/_dispatcher.py
+++ b/cowsliploom/routing/_dispatcher.py
@@ -143,6 +143,8 @@
         server.sent_ms = now_ms
         if service.move is not None:
             service.move = count_call(service.move, server.version)
+        if attempt is Attempt.FIRST:
+            self.extra.earn(service)
         self._context.counts[attempt] += 1
         self._context.commands.append(_command(call, now_ms))
 
--- a/cowsliploom/routing/_extra_load.py
+++ b/cowsliploom/routing/_extra_load.py
@@ -21,11 +21,12 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    def earn(self, services: list[ServiceTrack]) -> None:
-        """Earn budget for the first attempts of one query."""
+    def earn(self, service: ServiceTrack) -> None:
+        """Earn budget for a first attempt that is sent."""
         context = self._context
-        context.budget = earn(context.budget, len(services))
-        for service in services:
+        if not context.budget.is_full:
+            context.budget = earn(context.budget, 1)
+        if not service.budget.is_full:
             service.budget = earn(service.budget, 1)
 
     def pay(self, service: ServiceTrack) -> None:
--- a/cowsliploom/routing/_naive.py
+++ b/cowsliploom/routing/_naive.py
@@ -103,6 +103,11 @@
         """Tell whether no query and no run is open."""
         return not self._queries and not self._runs
 
+    @property
+    def warm_owned(self) -> frozenset[str]:
+        """Return no server: this policy knows no cold start."""
+        return frozenset()
+
     def connection_allowance(self, server: str) -> int:
         """Return the connections that may be open to a server: all it accepts."""
         known = self._catalog.servers.get(server)
--- a/cowsliploom/routing/_planner.py
+++ b/cowsliploom/routing/_planner.py
@@ -1,5 +1,6 @@
 """Plans of queries: the snapshot to pin, and the wait to expect."""
 
+from dataclasses import dataclass
 from functools import partial
 
 from cowsliploom.resources import SearchSpec
@@ -12,7 +13,27 @@
 from cowsliploom.routing._tracks import ServerTrack, Work
 
 PLAN_FRESH_MS = 100  # servers come back by time alone, too
-OVERLOADED_RATIO = 0.12  # a query that would miss more of its services is refused
+HEALTHY_LATE_RATIO = 0.12  # more late services with all their servers: overload
+LATE_RATIO = 0.5  # an answer without more services than this is of little use
+
+
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """Tell what a new query would meet.
+
+    Parameters
+    ----------
+    late_services : frozenset of str
+        Services that would answer too late.
+    wait_ms : float
+        Longest expected wait at them, in milliseconds.
+    is_overload : bool
+        Whether the query should be refused whole.
+    """
+
+    late_services: frozenset[str] = frozenset()
+    wait_ms: float = 0
+    is_overload: bool = False
 
 
 class Planner:
@@ -65,18 +86,35 @@
         service = work.service
         return self._choice.may_serve(service, work.snapshot, now_ms, work.tried)
 
-    def overload_wait_ms(self, search: SearchSpec, left_ms: float) -> float | None:
-        """Return the longest wait if too many services are overloaded, else None."""
-        late = 0
+    def judge_backlog(
+        self, search: SearchSpec, left_ms: float, now_ms: float
+    ) -> Backlog:
+        """Judge which services of a search a new query would wait for in vain.
+
+        Notes
+        -----
+        Where healthy services are late, the load is too high for all, and whole
+        queries are refused so that the admitted ones stay whole. A service that
+        has lost servers or warms them up is a bottleneck of its own: queries go
+        on without it, unless most services are like that.
+        """
+        late: set[str] = set()
+        healthy = 0
         longest_ms = float()
         asked = frozenset(search.services)
         for service in self._dispatcher.backlogged.values():
-            if service.name not in asked:
-                continue
             wait_ms = self._dispatcher.wait_ms(service, search.urgency)
+            in_time = fits(wait_ms, service.typical_ms, left_ms)
+            if in_time or service.name not in asked:
+                continue
+            late.add(service.name)
             longest_ms = max(longest_ms, wait_ms)
-            late += not fits(wait_ms, service.typical_ms, left_ms)
-        return longest_ms if late > len(asked) * OVERLOADED_RATIO else None
+            healthy += not service.is_impaired(now_ms)
+        is_overload = (
+            healthy > len(asked) * HEALTHY_LATE_RATIO
+            or len(late) > len(asked) * LATE_RATIO
+        )
+        return Backlog(frozenset(late), longest_ms, is_overload)
 
     def _can_answer(self, now_ms: float, service: str, snapshot: int) -> bool:
         track = self._fleet.services.get(service)
--- a/cowsliploom/routing/_queries.py
+++ b/cowsliploom/routing/_queries.py
@@ -17,6 +17,7 @@
 from cowsliploom.routing._settings import answer_deadline_ms
 from cowsliploom.routing._tracks import Attempt, OpenQuery, Work
 
+NO_SERVICES: frozenset[str] = frozenset()
 RESTARTS_MAX = 2  # a query that loses its snapshot more often than this is late
 
 
@@ -75,13 +76,12 @@
         if left_ms <= 0:
             self._refuse(event, RefusalCause.DEADLINE)
             return
-        wait_ms = self._planner.overload_wait_ms(search, left_ms)
-        if len(self.open) >= settings.queries_max:
-            wait_ms = left_ms
-        if wait_ms is not None:
-            self._refuse(event, RefusalCause.OVERLOADED, wait_ms)
+        backlog = self._planner.judge_backlog(search, left_ms, event.now_ms)
+        if backlog.is_overload or len(self.open) >= settings.queries_max:
+            self._refuse(event, RefusalCause.OVERLOADED, backlog.wait_ms)
             return
-        self._admit(OpenQuery(event, search, plan, deadline_ms))
+        query = OpenQuery(event, search, plan, deadline_ms)
+        self._admit(query, backlog.late_services)
 
     def leave(self, query_id: str, now_ms: float) -> None:
         """Drop a query whose caller has gone."""
@@ -131,17 +131,19 @@
             if not query.is_closed:
                 self._answer(query, now_ms)
 
-    def _admit(self, query: OpenQuery) -> None:
+    def _admit(self, query: OpenQuery, skipped: frozenset[str]) -> None:
         event = query.event
         self.open[event.query_id] = query
         self._order += 1
         heappush(self._deadlines, (query.deadline_ms, self._order, query))
-        self._ask_all(query, event.now_ms)
+        self._ask_all(query, event.now_ms, skipped)
 
-    def _ask_all(self, query: OpenQuery, now_ms: float) -> None:
+    def _ask_all(
+        self, query: OpenQuery, now_ms: float, skipped: frozenset[str] = NO_SERVICES
+    ) -> None:
         services = self._fleet.services
-        asked = [services[name] for name, _ in query.plan.shards if name in services]
-        self._dispatcher.extra.earn(asked)
+        names = [name for name, _ in query.plan.shards if name not in skipped]
+        asked = [services[name] for name in names if name in services]
         urgency = query.search.urgency
         snapshot = query.plan.snapshot
         query.open_works = {
--- a/cowsliploom/routing/_tracks.py
+++ b/cowsliploom/routing/_tracks.py
@@ -177,6 +177,13 @@
         """Return the service's median latency, in milliseconds."""
         return self.window.quantile(0.5, TYPICAL_MS)
 
+    def is_impaired(self, now_ms: float) -> bool:
+        """Tell whether a server of the service gets no work, or less than usual."""
+        return any(
+            server.is_cold or server.failures or not server.is_reachable(now_ms)
+            for server in self.servers
+        )
+
 
 @dataclass(slots=True, eq=False)
 class OpenQuery:
--- a/cowsliploom/routing/tests/fake_server.py
+++ b/cowsliploom/routing/tests/fake_server.py
@@ -107,6 +107,7 @@
             return
         server.received += 1
         if id(entry) in server.silent_to:
+            self._loop.silent_calls.add(command.call_id)
             return
         reason = self._refusal(server, command)
         if reason:
--- a/cowsliploom/routing/tests/loop.py
+++ b/cowsliploom/routing/tests/loop.py
@@ -24,6 +24,7 @@
     RunArrived,
     SendRun,
     SendSearch,
+    ServersWarm,
     Tick,
 )
 from cowsliploom.routing.tests import samples
@@ -65,6 +66,7 @@
         self.rng = random.Random(seed)
         self.arrived: dict[str, Any] = {}
         self.open_calls: set[str] = set()
+        self.silent_calls: set[str] = set()
         self._events: list[Any] = []
         self._order = itertools.count()
         self.wire = Wire(self)
@@ -147,6 +149,10 @@
             for entry in self.entries:
                 self.give(entry, HealthReported(self.now_ms, server.name, health))
                 self.give(entry, LoadReported(self.now_ms, server.name, load))
+        for teller in self.entries:
+            warm = ServersWarm(self.now_ms, teller.router.warm_owned)
+            for listener in self.entries:
+                self.give(listener, warm)
         self.at(self.now_ms + PROBE_MS, self._probe)
 
     def _tick(self, entry):
@@ -185,7 +191,7 @@
         self.at(command.deadline_ms, self._time_out, entry, command)
 
     def _time_out(self, entry, command):
-        if command.call_id in self.open_calls:
+        if command.call_id in self.open_calls | self.silent_calls:
             self.open_calls.discard(command.call_id)
             self.give(entry, self.failed(command, FailureStep.RECEIVE, True))
 
--- a/cowsliploom/routing/tests/test_runs.py
+++ b/cowsliploom/routing/tests/test_runs.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cowsliploom.protocol import CallRefusal, Ran, RefusalReason, RunReply, ServerState
+from cowsliploom.protocol import CallRefusal, Ran, RefusalReason, RunReply
 from cowsliploom.routing import (
     AnswerRun,
     CallerLeft,
@@ -23,6 +23,7 @@
 )
 from cowsliploom.routing.tests import samples
 from cowsliploom.routing.tests.driver import Driver, only
+from cowsliploom.routing.tests.faults import break_things
 from cowsliploom.routing.tests.loop import Loop
 
 
@@ -163,36 +164,6 @@
     assert waiting not in {refusal.query_id for refusal in driver.all(RefuseCaller)}
 
 
-def break_things(loop, rng):
-    """Strike one server with a random fault for a short time."""
-    server = rng.choice(list(loop.servers.values()))
-    fault = rng.choice(
-        ('dead', 'failing', 'silent', 'cold', 'leaving', 'slow', 'reset')
-    )
-    server.is_dead = fault == 'dead'
-    server.is_failing = fault == 'failing'
-    server.is_resetting = fault == 'reset'
-    server.slowdown = 30 if fault == 'slow' else 1
-    if fault == 'silent':
-        server.silent_to = {id(entry) for entry in loop.entries}
-    if fault == 'cold':
-        server.turn_cold(f'i{loop.now_ms:.0f}')
-    if fault == 'leaving':
-        server.state = ServerState.LEAVING
-    loop.at(loop.now_ms + 150, mend, server)
-    loop.at(loop.now_ms + 60, break_things, loop, rng)
-
-
-def mend(server):
-    server.is_dead = False
-    server.is_failing = False
-    server.is_resetting = False
-    server.slowdown = 1
-    server.silent_to.clear()
-    if server.state is ServerState.LEAVING:
-        server.turn_cold(f'{server.incarnation}+')
-
-
 def run_under_faults(policy, seed):
     routers = [
         policy(f'e{number}', samples.DATA_CENTRES[number], RouterSettings(), seed)
--- a/cowsliploom/routing/tests/test_stragglers.py
+++ b/cowsliploom/routing/tests/test_stragglers.py
@@ -221,6 +221,29 @@
     assert extra <= 0.05 * sum(count.sub_requests for count in counts)
 
 
+def silence(loop):
+    """Let all connections of one entry VM to a quarter of the servers go silent."""
+    entry = loop.entries[0]
+    for name in ('s0r0', 's2r0', 's4r1', 's5r0'):
+        loop.servers[name].silent_to.add(id(entry))
+
+
+def test_silent_connections_are_found_and_replaced():
+    loop = Loop(routers(Router, 3), services=8)
+    loop.plan_arrivals(150, 100, 4000)
+    loop.at(1500, silence, loop)
+    loop.run(4500)
+    figures = summarise(loop, 600)
+    assert figures['partial'] <= 3
+    assert {'s0r0', 's2r0', 's5r0'} <= set(loop.entries[0].retired)
+    assert not loop.entries[1].retired
+    later = summarise(loop, 2500)
+    assert later['partial'] == 0
+    assert later['p99_ms'] < 25
+    fleet = loop.entries[0].router._fleet
+    assert not any(track.is_cold for track in fleet.servers.values())
+
+
 @pytest.mark.parametrize('straggler_ratio', [0.05, 0.2])
 def test_extra_load_stays_within_the_budget(straggler_ratio):
     loop, _ = run_load(Router, straggler_ratio)
