--- a/cowsliploom/routing/_outcomes.py
+++ b/cowsliploom/routing/_outcomes.py
@@ -11,9 +11,10 @@
     grow,
 )
 from cowsliploom.routing._messages import CallFailed, FailureStep
-from cowsliploom.routing._tracks import Call, ServerTrack
+from cowsliploom.routing._tracks import Block, Call, ServerTrack
 from cowsliploom.routing._view import (
     forget_slowness,
+    is_very_slow,
     observe_failure,
     observe_success,
 )
@@ -72,7 +73,7 @@
             self._fleet.note_contact(server, now_ms)
         self._context.record(call, now_ms, succeeded=True)
         if server.is_cold:
-            self._warm_up(server, state)
+            self._warm_up(server, state, elapsed_ms)
         elif server.view.is_slow:
             self._slow_down(call, now_ms)
         else:
@@ -114,7 +115,7 @@
         if elapsed_ms < SILENT_RATIO * service.typical_ms:
             return
         self.slow(call, now_ms)
-        is_fresh = call.sent_ms > server.retired_ms
+        is_fresh = call.sent_ms >= server.retired_ms
         was_retired = server.retired_ms > 0
         self._context.retire(server, now_ms)
         if was_retired and is_fresh:
@@ -158,7 +159,7 @@
             case RefusalReason.COLD:
                 self._fleet.turn_cold(server, ColdCause.WORD, now_ms)
             case RefusalReason.LEAVING:
-                server.is_leaving = True
+                server.blocks.add(Block.LEAVING)
                 self._fleet.generation += 1
             case RefusalReason.WRONG_SERVICE:
                 server.view = observe_failure(server.view, now_ms)
@@ -174,7 +175,12 @@
         )
         self._fleet.note_contact(server, now_ms)
 
-    def _warm_up(self, server: ServerTrack, state: ServerState) -> None:
+    def _warm_up(
+        self, server: ServerTrack, state: ServerState, elapsed_ms: float
+    ) -> None:
+        """Let a cold server's allowance grow, unless its answer was very slow."""
+        if is_very_slow(server.view, elapsed_ms):
+            return
         warmth = take_success(server.warmth, state, server.server.slots)
         if not isinstance(warmth, Cold):
             self._fleet.believe_warm(server)
@@ -191,7 +197,7 @@
         """
         server = call.server
         others_warm = any(
-            not other.is_cold and not other.view.is_slow and not other.is_blocked
+            not other.is_cold and not other.view.is_slow and not other.blocks
             for other in call.work.service.servers
             if other is not server
         )
