--- a/benchmarks/peer_processes.py
+++ b/benchmarks/peer_processes.py
@@ -82,7 +82,7 @@
     addresses = [_read(process) for process in processes]
     for process in processes:
         _write(process, json.dumps(addresses))
-    reports = [json.loads(_read(process)) for process in processes]
+    reports = [json.loads(_read(child)) for child in processes]
     for ended in processes:
         ended.wait()
     return reports
