Count entry VMs that start as behind, and don't tell of each to watchers

Cause: leaving out VMs without a configuration made a first change look in force everywhere while two of three VMs had nothing yet; seen on reading the rule again after the run on three real entry VMs, where it passed by timing. They are behind, and counted apart.

--- a/cowsliploom/daemons/_operator_status.py
+++ b/cowsliploom/daemons/_operator_status.py
@@ -54,13 +54,11 @@
     Returns
     -------
     FleetIndex
-        Without entry VMs that have no configuration yet: they take no callers, and
-        each start of one would else put every resource behind.
+        The fleet, with the entry VMs furthest behind first.
     """
     ordered = sorted(
         (daemon.applied_revision, f'{daemon.data_centre}/{daemon.name}')
         for daemon in fleet.daemons
-        if daemon.applied_revision > 0
     )
     revisions = tuple(revision for revision, _ in ordered)
     return FleetIndex(revisions, tuple(name for _, name in ordered))
@@ -112,6 +110,8 @@
         First names of entry VMs that don't have it yet, as ``data centre/name``.
     behind_count : int
         Number of all entry VMs that don't have it yet.
+    starting_count : int
+        Number of those behind that have no configuration yet.
     daemons : int
         Number of entry VMs known.
     unknown : str
@@ -123,6 +123,7 @@
     in_force_everywhere: bool | None = None
     behind: tuple[str, ...] = ()
     behind_count: int = 0
+    starting_count: int = 0
     daemons: int = 0
     unknown: str = ''
     move: msgspec.Raw | None = None
@@ -147,16 +148,46 @@
         case FleetUnknown(reason):
             return ResourceStatus(unknown=reason)
         case FleetIndex(()):
-            return ResourceStatus(unknown='no entry VM has a configuration yet')
+            return ResourceStatus(unknown='the entry VM knows of no live entry VM')
+    starting_count = bisect.bisect_left(fleet.revisions, min(revision, 1))
     behind_count = bisect.bisect_left(fleet.revisions, revision)
     return ResourceStatus(
         in_force_everywhere=behind_count == 0,
         behind=fleet.names[: min(behind_count, BEHIND_LISTED_MAX)],
         behind_count=behind_count,
+        starting_count=starting_count,
         daemons=len(fleet.names),
     )
 
 
+def news_of(status: ResourceStatus, told: ResourceStatus) -> ResourceStatus:
+    """Return what of a status is worth telling a watcher again.
+
+    Parameters
+    ----------
+    status, told : ResourceStatus
+        Status now, and what was told last.
+
+    Returns
+    -------
+    ResourceStatus
+        Equals ``told`` when there is no news. The number of entry VMs is none. Nor
+        is one that starts, once the resource was in force everywhere: each start
+        would else be told for every resource.
+    """
+    starting_only = status.behind_count == status.starting_count
+    if told.in_force_everywhere and status.behind_count and starting_only:
+        return replace(
+            status,
+            in_force_everywhere=True,
+            behind=(),
+            behind_count=0,
+            starting_count=0,
+            daemons=0,
+        )
+    return replace(status, daemons=0)
+
+
 def resource_status(resource: Resource, snapshot: StatusSnapshot) -> ResourceStatus:
     """Return the status of one resource."""
     status = revision_status(resource.revision, snapshot.fleet)
--- a/cowsliploom/daemons/_operator_stream.py
+++ b/cowsliploom/daemons/_operator_stream.py
@@ -1,7 +1,7 @@
 """Watch streams: JSON lines of events, status and bookmarks."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from cowsliploom.daemons._operator_documents import (
     BookmarkLine,
@@ -13,7 +13,11 @@
     encode_line,
 )
 from cowsliploom.daemons._operator_feed import ConfigurationFeed, FeedState
-from cowsliploom.daemons._operator_status import ResourceStatus, resource_status
+from cowsliploom.daemons._operator_status import (
+    ResourceStatus,
+    news_of,
+    resource_status,
+)
 from cowsliploom.resources import (
     Action,
     EventBatch,
@@ -127,9 +131,9 @@
         for resource in self._covered(state):
             status = resource_status(resource, state.status)
             key = resource_key(resource)
-            # The number of entry VMs alone is no news: it changes with each start.
-            news = replace(status, daemons=0)
-            if self._told.get(key, ResourceStatus()) != news:
+            told = self._told.get(key, ResourceStatus())
+            news = news_of(status, told)
+            if news != told:
                 self._told[key] = news
                 yield StatusLine(
                     resource.kind, resource.name, resource.revision, status
--- a/cowsliploom/daemons/tests/test_operator.py
+++ b/cowsliploom/daemons/tests/test_operator.py
@@ -304,7 +304,7 @@
         with Operator(store, entries=entries) as operator:
             operator.put('de')
             operator.put('de', 'out')
-            entry.daemons = {'entry-1': 2, 'entry-2': 1, 'starting': 0}
+            entry.daemons = {'entry-1': 2, 'entry-2': 1}
             status = operator.ask('GET', DE).body['status']
             assert (status['in_force_everywhere'], status['behind']) == (
                 False,
--- a/cowsliploom/daemons/tests/test_operator_status.py
+++ b/cowsliploom/daemons/tests/test_operator_status.py
@@ -14,6 +14,7 @@
     ResourceStatus,
     StatusSnapshot,
     index_fleet,
+    news_of,
     resource_status,
     revision_status,
 )
@@ -37,8 +38,8 @@
         ((5, 5, 9), True, ()),
         ((5, 4, 9), False, ('de/entry-1',)),
         ((4, 1, 9), False, ('de/entry-1', 'de/entry-0')),
-        ((5, 0), True, ()),
-        ((0, 0), None, ()),
+        ((5, 0), False, ('de/entry-1',)),
+        ((0, 0), False, ('de/entry-0', 'de/entry-1')),
         ((), None, ()),
     ],
 )
@@ -48,6 +49,23 @@
     assert bool(status.unknown) is (in_force is None)
 
 
+@pytest.mark.parametrize(
+    ('before', 'after', 'is_news'),
+    [
+        ((5, 5), (5, 5, 5), False),
+        ((5, 5), (5, 5, 0), False),
+        ((5, 5), (5, 5, 4), True),
+        ((5, 5), (5, 0, 4), True),
+        ((5, 4), (5, 5), True),
+        ((5, 0), (5, 5), True),
+        ((5, 4), (5, 4, 0), True),
+    ],
+)
+def test_start_of_an_entry_vm_is_no_news_once_all_had_it(before, after, is_news):
+    told = news_of(revision_status(5, fleet(*before)), ResourceStatus())
+    assert (news_of(revision_status(5, fleet(*after)), told) != told) is is_news
+
+
 def test_long_list_is_cut_and_counted():
     status = revision_status(2, fleet(*itertools.repeat(1, 2600)))
     assert (len(status.behind), status.behind_count) == (BEHIND_LISTED_MAX, 2600)
--- a/tests/test_operator_processes.py
+++ b/tests/test_operator_processes.py
@@ -25,7 +25,8 @@
     )
     drained = threading.Thread(target=process.stderr.read, daemon=True)
     drained.start()
-    return process, json.loads(process.stdout.readline())['ready']
+    process.ready = json.loads(process.stdout.readline())
+    return process, process.ready['ready']
 
 
 @contextlib.contextmanager
@@ -159,6 +160,45 @@
         assert again.stdout.splitlines()[1].split()[0] == '1'
 
 
+def test_applied_file_is_in_force_on_all_entry_vms_within_seconds(store, http):
+    with contextlib.ExitStack() as stack:
+        entries = [stack.enter_context(entry(store, name)) for name in ENTRY_NAMES]
+        tell_platform(http, store, entries)
+        flags = [flag for each in entries for flag in ('--entry', each['ready'])]
+        _, address = stack.enter_context(operator(store, *flags))
+        server = ('--server', address)
+        assert ctl(*server, 'apply', '-f', 'examples/wales.yaml').returncode == 0
+        waited = ctl(*server, 'wait', 'revision', '--for-ms', '8000')
+        assert (waited.returncode, 'in force on all 3' in waited.stdout) == (0, True)
+
+
+ENTRY_NAMES = ('entry-1', 'entry-2', 'entry-3')
+
+
+@contextlib.contextmanager
+def entry(store, name):
+    flags = ('--store', store, '--data-centre', 'de', '--name', name)
+    module = 'cowsliploom.daemons.entry'
+    with running(module, *flags, '--drain-notice-ms', '0') as (process, _):
+        yield {**process.ready, 'name': name}
+
+
+def tell_platform(http, store, entries):
+    vms = [
+        {
+            'name': each['name'],
+            'role': 'entry',
+            'address': each['peer'],
+            'data_centre': 'de',
+            'state': 'live',
+        }
+        for each in entries
+    ]
+    body = json.dumps({'vms': vms, 'store_ms': 0})
+    answer = http.request('PUT', f'http://{store}/admin/vms', body=body)
+    assert answer.status == 200
+
+
 @pytest.mark.parametrize(
     ('flags', 'told'),
     [
