--- a/cowsliploom/adapters/__init__.py
+++ b/cowsliploom/adapters/__init__.py
@@ -11,7 +11,7 @@
 from cowsliploom.adapters._http_messages import HttpRequest as HttpRequest
 from cowsliploom.adapters._http_messages import HttpResponse as HttpResponse
 from cowsliploom.adapters._http_server import HttpServer as HttpServer
-from cowsliploom.adapters._http_server import HttpServerSettings as HttpServerSettings
+from cowsliploom.adapters._http_bounds import HttpServerSettings as HttpServerSettings
 from cowsliploom.adapters._log import LogLines as LogLines
 from cowsliploom.adapters._log import PartLog as PartLog
 from cowsliploom.adapters._problem import PROBLEM_TYPE as PROBLEM_TYPE
