Tell a cold server from a pause of the entry VM

Cause: when all calls became slow at once, as after a pause of the entry VM's own process, every server in turn was taken as cold by sudden slowness (8 of 8 in the new test), since a judged server's record was cleared and then vouched for the next. A server must now stand out: another good server in its service, and no more than a quarter of the servers with recent calls slow. Slowness alone lowers the limit to one call at the least (the test fails without that floor: 72 of 130 sub-requests sent).

--- a/cowsliploom/routing/_outcomes.py
+++ b/cowsliploom/routing/_outcomes.py
@@ -7,6 +7,7 @@
 from cowsliploom.routing._limiter import (
     LIMIT_MIN,
     SLOW_FALL_RATIO,
+    Limiter,
     fall,
     grow,
 )
@@ -28,6 +29,8 @@
 BACKOFF_MIN_MS = 100.0  # a refused connection costs little, so test again soon
 BACKOFF_MAX_MS = 2000.0  # a server that is back must be found within seconds
 WRONG_SERVICE_MS = 5000.0  # an address that changed hands needs a configuration
+RECENT_MS = 2000.0  # views updated within this time are compared
+SUSPECT_RATIO = 0.25  # more slow servers than this have a common cause
 SHED_WEIGHT = 0.05  # some twenty calls decide whether a service sheds
 SILENT_RATIO = 3  # a timeout counts once the call took this many medians
 
@@ -192,21 +195,41 @@
 
         Notes
         -----
-        Suspicion alone never takes the last warm server of a service: where all
-        are slow the load or the service is, not one server's cache.
+        Slowness alone brings the limit down to one call, never to pacing: where
+        all calls have become slower, that would starve the service.
         """
         server = call.server
-        others_warm = any(
-            not other.is_cold and not other.view.is_slow and not other.blocks
+        was_shed = now_ms - call.work.service.shed_ms < BACKOFF_MAX_MS
+        if server.view.is_very_slow and not was_shed and self._stands_out(call, now_ms):
+            server.view = forget_slowness(server.view)
+            self._fleet.turn_cold(server, ColdCause.SLOWNESS, now_ms)
+            return
+        if server.limiter.limit > 1:
+            fallen = fall(server.limiter, call.sent_ms, now_ms, SLOW_FALL_RATIO)
+            server.limiter = Limiter(max(1, fallen.limit), fallen.fell_ms)
+
+    def _stands_out(self, call: Call, now_ms: float) -> bool:
+        """Tell whether one server is slow, not its service or this entry VM.
+
+        Notes
+        -----
+        Suspicion alone never takes the last good server of a service, nor any
+        while many servers look slow, as they do when the entry VM has paused.
+        """
+        server = call.server
+        has_other = any(
+            not other.is_cold and not other.blocks and not other.view.is_suspect
             for other in call.work.service.servers
             if other is not server
         )
-        is_cold = server.view.is_very_slow and others_warm
-        server.view = forget_slowness(server.view)
-        if is_cold and call.work.service.shed_ms < now_ms - BACKOFF_MAX_MS:
-            self._fleet.turn_cold(server, ColdCause.SLOWNESS, now_ms)
-            return
-        server.limiter = fall(server.limiter, call.sent_ms, now_ms, SLOW_FALL_RATIO)
+        if not has_other:
+            return False
+        recent = [
+            other.view.is_suspect
+            for other in self._fleet.servers.values()
+            if now_ms - other.view.updated_ms < RECENT_MS
+        ]
+        return sum(recent) <= max(1, SUSPECT_RATIO * len(recent))
 
     def _back_off(self, server: ServerTrack, now_ms: float) -> None:
         server.failures += 1
--- a/cowsliploom/routing/_view.py
+++ b/cowsliploom/routing/_view.py
@@ -15,6 +15,7 @@
 VERY_SLOW_RATIO = 5  # slower than overload explains within the limits
 RECENT_BITS = 8  # calls looked at for slowness
 RECENT_MASK = 255
+SUSPECT_CALLS = 3  # of the recent ones; half of what makes a server slow
 SLOW_CALLS = 6  # of the recent ones; stragglers of 5% reach it once in millions
 
 
@@ -46,6 +47,11 @@
         """Tell whether most recent calls were slow."""
         return self.slow_bits.bit_count() >= SLOW_CALLS
 
+    @property
+    def is_suspect(self) -> bool:
+        """Tell whether more recent calls were slow than stragglers explain."""
+        return self.slow_bits.bit_count() >= SUSPECT_CALLS
+
     @property
     def is_very_slow(self) -> bool:
         """Tell whether most recent calls were very slow."""
--- a/cowsliploom/routing/tests/test_cold_start.py
+++ b/cowsliploom/routing/tests/test_cold_start.py
@@ -184,6 +184,29 @@
     assert not driver.router.counters.cold_turns
 
 
+def test_slowness_everywhere_is_not_a_cold_start():
+    """A pause of the entry VM itself makes all servers look slow at once."""
+    driver = Driver(services=8, slots=4)
+    driver.warm_up()
+    for number in range(30):
+        sends = driver.ask(f'slow-{number}')
+        driver.now_ms += 60
+        for send in sends.values():
+            driver.reply(send, 0)
+    assert not driver.router.counters.cold_turns
+
+
+def test_slowness_alone_never_paces_a_server():
+    driver = Driver(services=1, replicas=1)
+    driver.warm_up()
+    for number in range(100):
+        for send in driver.ask(f'slow-{number}').values():
+            driver.reply(send, 6)
+        driver.now_ms += 1
+    assert driver.router.counters.sub_requests == 130
+    assert driver.ask('next')
+
+
 def test_returning_data_centre_is_cold():
     driver = Driver(slots=4)
     driver.warm_up()
