Stop repeating updates to members that have the same view

40 s after a start of all 400 members of a data centre each still had about 390 updates to spread, 24 on each frame: 2671 payload bytes a second of each daemon for nothing, since their views had agreed since the third second. Equal digests on a frame now count as one send of each update that the digest covers; suspicions are not covered and go on. Run: the new test failed before and passes now; 101 tests of membership, ownership, dissemination, examples and peer task pass.

--- a/cowsliploom/coordination/_local_member.py
+++ b/cowsliploom/coordination/_local_member.py
@@ -94,6 +94,14 @@
         self.applied_revision = max(self.applied_revision, revision)
         self.view.merge(MemberUpdate(self.me, MemberState.ALIVE, self.applied_revision))
 
+    def note_agreement(self, frame: Frame) -> None:
+        """Use that the sender of a frame has the same view.
+
+        Equal digests say that it knows every change but suspicions.
+        """
+        self.view.raise_applied(frame.applied)
+        self.queue.count_as_sent(len(self.view), _is_in_digest)
+
     def tell_self(self, state: MemberState = MemberState.ALIVE) -> None:
         """Spread the state of this daemon."""
         own = MemberUpdate(self.me, state, self.applied_revision)
@@ -165,3 +173,7 @@
                 return self.settings.indirect_timeout_ms
             case CallPurpose.SYNC | CallPurpose.SAMPLE | CallPurpose.CONTACT:
                 return self.settings.exchange_timeout_ms
+
+
+def _is_in_digest(update: MemberUpdate) -> bool:
+    return update.state is not MemberState.SUSPECT
--- a/cowsliploom/coordination/_membership.py
+++ b/cowsliploom/coordination/_membership.py
@@ -182,7 +182,7 @@
             else:
                 self._local.take_update(update, now_ms)
         if frame.digest == self.digest:
-            self._local.view.raise_applied(frame.applied)
+            self._local.note_agreement(frame)
 
     def _tell_change(self, now_ms: float, out: Commands) -> None:
         others = self._local.others
--- a/cowsliploom/coordination/_piggyback.py
+++ b/cowsliploom/coordination/_piggyback.py
@@ -1,6 +1,7 @@
 """Bounded spreading of updates on frames that flow anyway."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -61,13 +62,33 @@
         if not self._queued:
             return ()
         least_sent = sorted(self._queued.items(), key=_sends)[: self.batch_max]
-        sends_max = SENDS_MIN + SENDS_PER_LOG * math.ceil(math.log2(fleet_size + 1))
-        for key, queued in least_sent:
-            queued.sends += 1
-            if queued.sends >= sends_max:
-                self._queued.pop(key)
+        for key, _ in least_sent:
+            self._count_send(key, fleet_size)
         return tuple(entry[1].update for entry in least_sent)
 
+    def count_as_sent(
+        self, fleet_size: int, is_known: Callable[[Update], bool]
+    ) -> None:
+        """Count one send of each update that a member turned out to know already.
+
+        Parameters
+        ----------
+        fleet_size : int
+            Members that an update has to reach.
+        is_known : callable
+            Tells whether the member knows an update.
+        """
+        known = [key for key, held in self._queued.items() if is_known(held.update)]
+        for key in known:
+            self._count_send(key, fleet_size)
+
+    def _count_send(self, key: str, fleet_size: int) -> None:
+        queued = self._queued[key]
+        queued.sends += 1
+        sends_max = SENDS_MIN + SENDS_PER_LOG * math.ceil(math.log2(fleet_size + 1))
+        if queued.sends >= sends_max:
+            self._queued.pop(key)
+
 
 def _sends(entry: tuple[str, _Queued[Update]]) -> int:
     return entry[1].sends
--- a/cowsliploom/coordination/tests/test_membership.py
+++ b/cowsliploom/coordination/tests/test_membership.py
@@ -55,6 +55,15 @@
     loop.run_until(lambda: views_agree(loop), bound_ms)
 
 
+def test_members_that_agree_stop_repeating_what_all_know():
+    loop = start_fleet(FleetLoop(1), ('de',) * 150)
+    loop.run(15_000)
+    carried = []
+    loop.on_frame = lambda vm, content: carried.append(len(content.updates))
+    loop.run(3000)
+    assert not any(carried)
+
+
 def test_listed_members_that_never_answer_are_tried_at_the_slow_rate():
     loop = settled(('de',) * 3)
     ghosts = tuple(Member(f'ghost-{number}', 'nowhere', 'de') for number in range(4))
