Let a suspect version wait for the late end of its steps

Cause: a version that fails 10% of its calls reached a share of 35% before its veto, as its steps ended early by the count of calls alone.

Weighed: stopping the schedule on suspicion (a good version may miss its time) against giving up the early end only, which was taken.

A rate of allowed bad calls is also kept above zero: a seeded fault with a negative margin met a logarithm of a negative number instead of a false veto.

--- a/cowsliploom/rollout/_baseline.py
+++ b/cowsliploom/rollout/_baseline.py
@@ -13,6 +13,7 @@
 SLOW_MARGIN = 0.05  # more slow calls than this above the old version are bad
 STALE_MS = 10_000  # without calls of the old version its rates become old
 STALE_FACTOR = 3  # wider margins against old rates
+RATE_MIN = 0.001  # a rate of zero would make one bad call infinite evidence
 RATE_MAX = 0.95  # a version that always fails is bad whatever the old one does
 LATENCIES_MAX = 256  # latest good calls that make the p95
 LATENCIES_MIN = 30  # fewer don't give a p95
@@ -93,8 +94,8 @@
         )
         slow = max(_upper(usual.slow, usual.timed), _rate(recent.slow, recent.timed))
         return AllowedRates(
-            errors=min(RATE_MAX, errors + ERROR_MARGIN * widen),
-            slow=min(RATE_MAX, slow + SLOW_MARGIN * widen),
+            errors=_clamp(errors + ERROR_MARGIN * widen),
+            slow=_clamp(slow + SLOW_MARGIN * widen),
         )
 
     def _recent(self) -> Counts:
@@ -115,3 +116,7 @@
 
 def _rate(bad: int, calls: int) -> float:
     return bad / calls if calls else 0
+
+
+def _clamp(rate: float) -> float:
+    return min(RATE_MAX, max(RATE_MIN, rate))
--- a/cowsliploom/rollout/_control_messages.py
+++ b/cowsliploom/rollout/_control_messages.py
@@ -56,10 +56,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ControllerTick:
-    """Let time pass; ``samples`` counts the new versions' calls by move."""
+    """Let time pass.
+
+    Parameters
+    ----------
+    now_ms : float
+        Monotonic time.
+    samples : mapping of str to int
+        Calls of the new versions so far, by move.
+    suspects : frozenset of str
+        Moves with some evidence against them; their steps don't end early.
+    """
 
     now_ms: float
     samples: Mapping[str, int]
+    suspects: frozenset[str] = frozenset()
 
 
 ControllerEvent = (
--- a/cowsliploom/rollout/_controller.py
+++ b/cowsliploom/rollout/_controller.py
@@ -237,7 +237,9 @@
         if watched.samples_at_step == NOT_COUNTED:
             watched = replace(watched, samples_at_step=samples)
             self._keep(watched)
-        pending = self._next_state(watched, tick.now_ms, samples)
+        is_suspect = watched.move.name in tick.suspects
+        seen = 0 if is_suspect else samples - watched.samples_at_step
+        pending = self._next_state(watched, tick.now_ms, seen)
         if pending is None:
             return ()
         self._keep(
@@ -247,7 +249,7 @@
         return (SwapState(watched.move.name, text, watched.version),)
 
     def _next_state(
-        self, watched: _Watched, now_ms: float, samples: int
+        self, watched: _Watched, now_ms: float, seen: int
     ) -> MoveState | None:
         state = watched.state
         move = watched.move
@@ -265,7 +267,7 @@
             started_ms=state.started_ms,
             updated_ms=state.updated_ms,
             finish_by_ms=move.finish_by_ms,
-            samples=samples - watched.samples_at_step,
+            samples=seen,
         )
         if is_step_due(progress, store_ms):
             return _next_step(state, store_ms, self._leadership.token)
--- a/cowsliploom/rollout/_judge.py
+++ b/cowsliploom/rollout/_judge.py
@@ -135,6 +135,12 @@
         case = self._cases.get(move)
         return case.trial.samples if case else 0
 
+    def suspects(self) -> frozenset[str]:
+        """Return the moves that have some evidence against them."""
+        return frozenset(
+            name for name, case in self._cases.items() if case.trial.is_suspect()
+        )
+
     def _declare(self, declared: MovesDeclared) -> None:
         self._entries = max(1, declared.entries)
         cases = {}
--- a/cowsliploom/rollout/_kind_test.py
+++ b/cowsliploom/rollout/_kind_test.py
@@ -103,12 +103,16 @@
             before = self._servers.get(name, _Evidence())
             self._servers[name] = before.advance(seen)
 
+    @property
+    def e_value(self) -> float:
+        """Return the evidence on all servers together."""
+        return self._all.process.e_value
+
     def find(
         self, now_ms: float, route: str, new_servers: int, e_value_min: float
     ) -> Finding | None:
         """Return why the version is bad, if there is evidence enough."""
-        e_value = self._all.process.e_value
-        if e_value < e_value_min:
+        if self.e_value < e_value_min:
             self._crossed_ms = math.inf
             return None
         self._crossed_ms = min(self._crossed_ms, now_ms)
@@ -120,7 +124,7 @@
             calls=self._all.calls,
             bad=self._all.bad,
             allowed_rate=self._all.allowed_rate,
-            e_value=e_value,
+            e_value=self.e_value,
         )
 
     def _slot(self, server: str) -> str:
@@ -175,6 +179,11 @@
                     by_server[server] = (*by_server.get(server, ()), block)
             test.advance(by_server)
 
+    @property
+    def e_value(self) -> float:
+        """Return the most evidence of any kind."""
+        return max(test.e_value for test in self._tests.values())
+
     def find(
         self, now_ms: float, new_servers: int, e_value_min: float
     ) -> Finding | None:
--- a/cowsliploom/rollout/_move_trial.py
+++ b/cowsliploom/rollout/_move_trial.py
@@ -13,6 +13,7 @@
 MOVE_ALPHA = 1e-4  # chance of taking back a good version, over all daemons
 KINDS = len(BadKind)  # each kind is tested apart
 ALL_ROUTES = 'all'  # a version that is bad everywhere shows here first
+SUSPECT_E_VALUE = 30  # a good version rarely shows this much, and only loses time
 SOURCES_MAX = 256  # daemons whose evidence is added up
 
 
@@ -61,19 +62,24 @@
     def find(self, now_ms: float, entries: int) -> Finding | None:
         """Test the calls since the last time; return why the version is bad."""
         self._take_own_calls()
-        tests: list[KindTests | RouteTrial] = [self._all_routes]
-        tests.extend(self._routes.values())
         closed = [route.close_block(now_ms) for route in self._routes.values()]
         blocks = [block for block in closed if block is not None]
         if blocks:
             self._all_routes.advance(blocks)
-        for number, test in enumerate(tests, start=1):
+        for number, test in enumerate(self._tests(), start=1):
             alpha = MOVE_ALPHA / (entries * KINDS * number * (number + 1))
             finding = test.find(now_ms, self.move.new_servers, 1 / alpha)
             if finding is not None:
                 return finding
         return None
 
+    def is_suspect(self) -> bool:
+        """Tell whether there is some evidence, though not enough for a veto."""
+        return any(test.e_value >= SUSPECT_E_VALUE for test in self._tests())
+
+    def _tests(self) -> tuple[KindTests | RouteTrial, ...]:
+        return (self._all_routes, *self._routes.values())
+
     def _take_own_calls(self) -> None:
         for key, counts in self._own.drain().items():
             self.own_rows[key] = self.own_rows.get(key, Counts()) + counts
--- a/cowsliploom/rollout/_rollout.py
+++ b/cowsliploom/rollout/_rollout.py
@@ -105,7 +105,8 @@
             else:
                 commands.append(judged)
         samples = {move.name: self._judge.samples(move.name) for move in self._moves}
-        commands.extend(self.control(ControllerTick(now_ms, samples)))
+        event = ControllerTick(now_ms, samples, self._judge.suspects())
+        commands.extend(self.control(event))
         return tuple(commands)
 
     def vetoes(self) -> tuple[Veto, ...]:
--- a/cowsliploom/rollout/_route_trial.py
+++ b/cowsliploom/rollout/_route_trial.py
@@ -44,6 +44,11 @@
         self._tests.advance([blocks])
         return blocks
 
+    @property
+    def e_value(self) -> float:
+        """Return the most evidence of any kind."""
+        return self._tests.e_value
+
     def find(
         self, now_ms: float, new_servers: int, e_value_min: float
     ) -> Finding | None:
--- a/cowsliploom/rollout/tests/test_controller.py
+++ b/cowsliploom/rollout/tests/test_controller.py
@@ -102,6 +102,18 @@
     assert shares == sorted(shares)
 
 
+@pytest.mark.parametrize('suspects', [frozenset(), frozenset(('move',))])
+def test_suspect_version_waits_for_the_late_end_of_a_step(suspects):
+    player = Player(FakeStore())
+    for now_ms in range(0, END_MS, STEP_MS):
+        samples = {'move': now_ms}
+        player.take(ControllerTick(now_ms, samples, suspects))
+    state = player.store.state()
+    assert state.status is MoveStatus.FINISHED
+    assert state.updated_ms <= MOVE.finish_by_ms
+    assert (state.updated_ms > MOVE.finish_by_ms * 0.8) == bool(suspects)
+
+
 def test_two_controllers_take_each_step_once():
     store = FakeStore()
     players = [Player(store, 'a'), Player(store, 'b')]
