--- a/cowsliploom/routing/_planner.py
+++ b/cowsliploom/routing/_planner.py
@@ -86,6 +86,34 @@
         service = work.service
         return self._choice.may_serve(service, work.snapshot, now_ms, work.tried)
 
+    def is_whole(self, route: str, now_ms: float) -> bool:
+        """Tell whether some snapshot of a search can be answered whole now."""
+        search = self._fleet.catalog.searches.get(route)
+        if search is None:
+            return False
+        plan = self.pin(route, search, now_ms)
+        return plan is not None and plan.is_whole
+
+    def has_moved_on(self, work: Work) -> bool:
+        """Tell whether a server of the service has dropped the pinned snapshot."""
+        snapshot = work.snapshot
+        if snapshot is None:
+            return False
+        table = self._choice.table
+        names = [server.name for server in work.service.servers]
+        return any(table.has_dropped(name, snapshot) for name in names)
+
+    def awaits_index(self, search: SearchSpec) -> bool:
+        """Tell whether a search's servers are about to report a newer index."""
+        table = self._choice.table
+        services = self._fleet.services
+        tracks = (services[name] for name in search.services if name in services)
+        return any(
+            table.is_between(server.name)
+            for track in tracks
+            for server in track.servers
+        )
+
     def judge_backlog(
         self, search: SearchSpec, left_ms: float, now_ms: float
     ) -> Backlog:
--- a/cowsliploom/routing/_queries.py
+++ b/cowsliploom/routing/_queries.py
@@ -1,5 +1,6 @@
 """Queries: one pinned snapshot, many sub-requests, one answer."""
 
+from dataclasses import replace
 from heapq import heappop, heappush
 
 from cowsliploom.protocol import Ran
@@ -15,6 +16,7 @@
 from cowsliploom.routing._outcomes import Outcomes
 from cowsliploom.routing._planner import Planner
 from cowsliploom.routing._settings import answer_deadline_ms
+from cowsliploom.routing._snapshot_waits import SnapshotWaits
 from cowsliploom.routing._tracks import Attempt, OpenQuery, Work
 
 NO_SERVICES: frozenset[str] = frozenset()
@@ -53,12 +55,21 @@
         self._outcomes = outcomes
         self._deadlines: list[tuple[float, int, OpenQuery]] = []
         self._order = 0
+        self._waits = SnapshotWaits()
         self.open: dict[str, OpenQuery] = {}
 
     @property
     def due_ms(self) -> float | None:
         """Return the next deadline, in milliseconds; None without queries."""
-        return self._deadlines[0][0] if self._deadlines else None
+        times = [deadline[0] for deadline in self._deadlines[:1]]
+        if self._waits.due_ms is not None:
+            times.append(self._waits.due_ms)
+        return min(times, default=None)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no query is open or held."""
+        return not self.open and self._waits.due_ms is None
 
     def start(self, event: QueryArrived) -> None:
         """Admit a query, pin its snapshot and ask every service."""
@@ -68,7 +79,9 @@
             return
         plan = self._planner.pin(event.search, search, event.now_ms)
         if plan is None:
-            self._refuse(event, RefusalCause.NO_SNAPSHOT)
+            is_held = self._planner.awaits_index(search) and self._waits.hold(event)
+            if not is_held:
+                self._refuse(event, RefusalCause.NO_SNAPSHOT)
             return
         settings = self._context.settings
         deadline_ms = answer_deadline_ms(settings, event.now_ms, event.deadline_ms)
@@ -85,15 +98,34 @@
 
     def leave(self, query_id: str, now_ms: float) -> None:
         """Drop a query whose caller has gone."""
+        self._waits.remove(query_id)
         query = self.open.get(query_id)
         if query is not None:
             self._close(query, now_ms)
 
+    def resume(self, now_ms: float) -> tuple[str, ...]:
+        """Begin waiting queries on a snapshot that is whole; name those admitted."""
+        for name in self._waits.waiting:
+            query = self.open[name]
+            if self._planner.is_whole(query.route, now_ms):
+                self.restart(query, now_ms)
+        ready = [
+            event
+            for event in self._waits.held
+            if self._planner.is_whole(event.search, now_ms)
+        ]
+        for resumed in ready:
+            self._waits.remove(resumed.query_id)
+            self.start(replace(resumed, now_ms=now_ms))
+        return tuple(admitted.query_id for admitted in ready)
+
     def lose(self, work: Work, now_ms: float) -> None:
         """Give up a sub-request; its service is missing in the answer."""
         query = work.parent
         if work.is_done or work.calls or not isinstance(query, OpenQuery):
             return
+        if self._may_wait(query, work, now_ms):
+            return
         self.finish_work(query, work, now_ms)
 
     def finish_work(self, query: OpenQuery, work: Work, now_ms: float) -> None:
@@ -116,6 +148,7 @@
         if query.is_closed or query.restarts >= RESTARTS_MAX:
             return False
         query.restarts += 1
+        self._waits.remove(query.name)
         self._context.count('restarts')
         self._cancel_all(query, now_ms)
         query.plan = plan
@@ -125,12 +158,33 @@
 
     def expire(self, now_ms: float) -> None:
         """Answer the queries whose time is up with what there is."""
+        self._end_waits(now_ms)
         deadlines = self._deadlines
         while deadlines and (deadlines[0][0] <= now_ms or deadlines[0][2].is_closed):
             query = heappop(deadlines)[2]
             if not query.is_closed:
                 self._answer(query, now_ms)
 
+    def _end_waits(self, now_ms: float) -> None:
+        """Go on without a newer snapshot where the wait is over."""
+        for work in self._waits.end_works(now_ms):
+            query = work.parent
+            if isinstance(query, OpenQuery) and not query.replies:
+                self.restart(query, now_ms)
+            self.lose(work, now_ms)
+        for event in self._waits.end_held(now_ms):
+            self._refuse(event, RefusalCause.NO_SNAPSHOT)
+
+    def _may_wait(self, query: OpenQuery, work: Work, now_ms: float) -> bool:
+        """Keep a sub-request open if its service is about to report a new index."""
+        left_ms = query.deadline_ms - now_ms
+        has_time = left_ms >= 2 * work.service.typical_ms
+        if not has_time or query.restarts >= RESTARTS_MAX:
+            return False
+        if not self._planner.has_moved_on(work):
+            return False
+        return self._waits.add(query, work, now_ms)
+
     def _admit(self, query: OpenQuery, skipped: frozenset[str]) -> None:
         event = query.event
         self.open[event.query_id] = query
@@ -183,6 +237,7 @@
 
     def _close(self, query: OpenQuery, now_ms: float) -> None:
         query.is_closed = True
+        self._waits.remove(query.name)
         self.open.pop(query.name, None)
         self._cancel_all(query, now_ms)
 
--- a/cowsliploom/routing/_router.py
+++ b/cowsliploom/routing/_router.py
@@ -102,7 +102,7 @@
     @property
     def idle(self) -> bool:
         """Tell whether no query and no run is open."""
-        return not self._queries.open and not self._runs.open
+        return self._queries.idle and not self._runs.open
 
     @property
     def due_ms(self) -> float | None:
@@ -158,7 +158,14 @@
 
     def _start_query(self, event: QueryArrived) -> None:
         self._queries.start(event)
-        query = self._queries.open.get(event.query_id)
+        self._watch(event.query_id)
+
+    def _resume(self, now_ms: float) -> None:
+        for query_id in self._queries.resume(now_ms):
+            self._watch(query_id)
+
+    def _watch(self, query_id: str) -> None:
+        query = self._queries.open.get(query_id)
         if query is not None:
             self._hedging.watch(query)
 
@@ -179,6 +186,7 @@
                 fleet.take_warm(event.servers)
             case HealthReported():
                 fleet.take_health(event.report, event.now_ms)
+                self._resume(event.now_ms)
             case LoadReported():
                 fleet.take_load(event.report, event.now_ms)
             case ProbeFailed():
--- a/cowsliploom/routing/_snapshots.py
+++ b/cowsliploom/routing/_snapshots.py
@@ -52,6 +52,16 @@
         holding = self.holdings.get(server)
         return holding is not None and snapshot in holding.snapshots
 
+    def is_between(self, server: str) -> bool:
+        """Tell whether a server has refused all the snapshots that it reported."""
+        holding = self.holdings.get(server)
+        return holding is not None and bool(holding.gone) and not holding.snapshots
+
+    def has_dropped(self, server: str, snapshot: int) -> bool:
+        """Tell whether a server has refused a snapshot that it once held."""
+        holding = self.holdings.get(server)
+        return holding is not None and snapshot in holding.gone
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -65,11 +75,14 @@
         Documents in the whole index at the snapshot.
     shards : tuple of (str, tuple of DocRange)
         Services to ask, each with the documents of its shard.
+    is_whole : bool, default=False
+        Whether every document had a usable server when it was pinned.
     """
 
     snapshot: int
     total_docs: int
     shards: tuple[Shard, ...]
+    is_whole: bool = False
 
 
 def take_report(table: SnapshotTable, report: HealthReport) -> SnapshotTable:
@@ -140,7 +153,7 @@
         covered = _count_reachable(plan, can_answer)
         ratio = covered / max(plan.total_docs, 1)
         if ratio > best_ratio:
-            best = plan
+            best = replace(plan, is_whole=ratio >= 1)
             best_ratio = ratio
         if best_ratio >= 1:
             break
--- a/cowsliploom/routing/_tracks.py
+++ b/cowsliploom/routing/_tracks.py
@@ -207,6 +207,7 @@
     deadline_ms: float
     attempts: int = 0
     restarts: int = 0
+    has_waited: bool = False
     is_closed: bool = False
     open_works: dict[str, 'Work'] = field(default_factory=dict)
     replies: dict[str, SearchReply] = field(default_factory=dict)
