--- a/cowsliploom/routing/_choice.py
+++ b/cowsliploom/routing/_choice.py
@@ -54,6 +54,16 @@
             for server in service.servers
         )
 
+    def can_answer(self, service: ServiceTrack, snapshot: int, now_ms: float) -> bool:
+        """Tell whether a service has a usable server that holds a snapshot."""
+        move = service.move
+        return any(
+            server.is_reachable(now_ms)
+            and self.table.holds(server.name, snapshot)
+            and (move is None or move.includes(server.version))
+            for server in service.servers
+        )
+
     def _list_ready(self, work: Work, now_ms: float, spare: int) -> list[ServerTrack]:
         snapshot = work.snapshot
         typical_ms = work.service.typical_ms
--- a/cowsliploom/routing/_dispatcher.py
+++ b/cowsliploom/routing/_dispatcher.py
@@ -64,6 +64,7 @@
             self._enqueue(work, attempt)
         elif not work.calls:
             self._context.lost_works.append(work)
+            _note_unserved(work)
 
     def wait(self, work: Work) -> None:
         """Let a shed request wait for the limit that fell because of it."""
@@ -96,7 +97,8 @@
         server = oldest.server
         move = work.service.move
         admitted = move is None or move.admits(server.version)
-        if not admitted or server.is_cold or not server.is_reachable(now_ms):
+        is_barred = now_ms < server.paused_until_ms or server.is_cold
+        if not admitted or is_barred or not server.is_reachable(now_ms):
             return False
         if self.extra.is_shedding(work.service, now_ms):
             return False
@@ -206,6 +208,19 @@
             self._context.lost_works.append(given_up.work)
 
 
+def _note_unserved(work: Work) -> None:
+    """Count a request that no server may take, so that shares go by demand.
+
+    Notes
+    -----
+    Where the old version has no servers left, the new one would else never come
+    to its turn.
+    """
+    move = work.service.move
+    if move is not None and not work.tried:
+        work.service.move = count_call(move, '')
+
+
 def _note_served(service: ServiceTrack, urgency: int, now_ms: float) -> None:
     service.departures = note_departure(service.departures, now_ms)
     estimate = service.estimates.get(urgency)
--- a/cowsliploom/routing/_planner.py
+++ b/cowsliploom/routing/_planner.py
@@ -118,4 +118,4 @@
 
     def _can_answer(self, now_ms: float, service: str, snapshot: int) -> bool:
         track = self._fleet.services.get(service)
-        return track is not None and self._choice.may_serve(track, snapshot, now_ms)
+        return track is not None and self._choice.can_answer(track, snapshot, now_ms)
--- a/cowsliploom/routing/_shares.py
+++ b/cowsliploom/routing/_shares.py
@@ -38,6 +38,10 @@
         """Tell whether the next call may go to the new version."""
         return self.share > 0 and self.credit + self.share >= 1
 
+    def includes(self, version: str) -> bool:
+        """Tell whether calls may go to a server of this version in their turn."""
+        return version != self.to_version or self.share > 0
+
     def admits(self, version: str) -> bool:
         """Tell whether the next call may go to a server of this version."""
         return version != self.to_version or self.allows_new
--- a/cowsliploom/routing/tests/test_servers.py
+++ b/cowsliploom/routing/tests/test_servers.py
@@ -26,7 +26,7 @@
 from cowsliploom.routing.tests.loop import Loop
 
 
-def servers_of(driver, queries=12, answer=True):
+def servers_of(driver, queries=12, answer=True, **fields):
     """Count the servers of the first service over queries, one after another."""
     seen = Counter()
     for number in range(queries):
@@ -34,7 +34,7 @@
         if 's0' in sends:
             seen[sends['s0'].server] += 1
         for send in sends.values() if answer else ():
-            driver.reply(send, 0.2)
+            driver.reply(send, 0.2, **fields)
     return seen
 
 
@@ -144,6 +144,13 @@
     assert not drive_versions(driver, 100)['v2']
 
 
+def test_new_version_gets_its_share_of_demand_when_the_old_is_gone():
+    driver = versioned()
+    move(driver, 0.5)
+    driver.give(ServersLeaving(driver.now_ms, frozenset(('s0r1',))))
+    assert servers_of(driver, 40, version='v2') == {'s0r0': 20}
+
+
 def test_whole_share_moves_all_calls():
     driver = versioned()
     move(driver, 1)
