--- a/benchmarks/membership_slopes.py
+++ b/benchmarks/membership_slopes.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import statistics
 import sys
 from typing import Any
 
@@ -32,6 +33,8 @@
 LIMITS = {'processor_percent': 3.7, 'bytes_per_s': 5000, 'memory_mb': 64}
 FREEZES = 20
 FREEZE_SIZE_MAX = 64
+DESIGN_SIZE = 325  # 2,600 daemons in 8 data centres
+FITTED = ('sent_bytes_per_s', 'processor_percent')
 MEMORY_SIZES = (32, 128)
 FREEZE_SPANS_MS = (300, 2500)
 
@@ -181,6 +184,36 @@
     return row
 
 
+def fit_line(rows: list[Row], field: str) -> dict[str, float]:
+    """Return a field as a line over the size, by least squares."""
+    points = [(row['size'], row[field]) for row in rows if row['data_centres'] == 1]
+    slope, base = statistics.linear_regression(*zip(*points, strict=True))
+    return {'base': round(base, 4), 'per_member': round(slope, 6)}
+
+
+def extrapolate(rows: list[Row]) -> Row:
+    """Return the figures at the letter's size, from the slopes of these rows.
+
+    What the other data centres add is taken from the widest shape measured.
+    """
+    lines = {field: fit_line(rows, field) for field in FITTED}
+    wide = max(rows, key=_wideness)
+    alike = next(
+        row for row in rows if row['data_centres'] == 1 and row['size'] == wide['size']
+    )
+    at_size: Row = {}
+    for field, line in lines.items():
+        own = line['base'] + line['per_member'] * DESIGN_SIZE
+        busiest = wide[f'{field}_busiest'] - alike[field]
+        at_size[field] = round(own + wide[field] - alike[field], 3)
+        at_size[f'{field}_busiest'] = round(own + busiest, 3)
+    return {'lines': lines, 'at_325_members_in_8_data_centres': at_size}
+
+
+def _wideness(row: Row) -> tuple[int, int]:
+    return row['data_centres'], row['size']
+
+
 def main() -> None:
     """Measure all shapes and print them."""
     cost = measure_call()
@@ -194,6 +227,7 @@
         'call_processor_ms': round(cost.processor_ms, 3),
         'call_overhead_bytes': round(cost.overhead_bytes),
         'limits': LIMITS,
+        'extrapolation': extrapolate(rows),
         'rows': rows,
     }
     print(json.dumps(report, indent=2))
