Tick when the router is due, spread warm servers, tell kept outcomes

Cause: hedges and deadlines waited for the next of the ticks of 5 ms; entry VMs that do not own a server learned only after 5 s that it is warm; a replay of an outcome too long to keep looked like an empty one. Ruled out: shorter fixed ticks (each costs the loop also when nothing is due). Conclusion: the router names its next time, owners announce warm servers as facts.

--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -32,6 +32,7 @@
 MS_PER_S = 1000
 SEED_BITS = 32
 PROBE_STEP_MS = 50  # with eight probes a step this is at most 160 probes a second
+WARM_STEP_MS = 500  # a look at all servers; others hear a warm one this much later
 DRAIN_POLL_MS = 20
 FLEET_WAIT_MS = 1000  # the loop answers within a tick unless the process is frozen
 ACCEPT_QUEUE_FACTOR = 8  # connections kept open for each thread
@@ -131,6 +132,7 @@
         stack.enter_context(vms)
         stack.enter_context(rollout)
         self._probe()
+        self._spread_warm()
         api = CallerApi(
             self._router.post, claims, self.clock, EntryViews(self._tell, self._fleet)
         )
@@ -184,6 +186,11 @@
         if self._loop is not None:
             self._loop.call_later(PROBE_STEP_MS / MS_PER_S, self._probe)
 
+    def _spread_warm(self) -> None:
+        self._hub.spread_warm()
+        if self._loop is not None:
+            self._loop.call_later(WARM_STEP_MS / MS_PER_S, self._spread_warm)
+
     def _tell(self) -> Readiness:
         if self._draining:
             return Readiness(ready=False, reason='draining')
--- a/cowsliploom/daemons/_entry_http.py
+++ b/cowsliploom/daemons/_entry_http.py
@@ -258,7 +258,14 @@
         case AnswerRun():
             return _encode(RunAnswer(request_id, outcome.outcome, replayed=False))
         case Replay():
-            return _encode(RunAnswer(request_id, outcome.outcome, replayed=True))
+            return _encode(
+                RunAnswer(
+                    request_id,
+                    outcome.outcome,
+                    replayed=True,
+                    outcome_kept=outcome.outcome_kept,
+                )
+            )
         case RefuseCaller():
             return _tell_refusal(request_id, outcome)
     return _tell_claim(request_id, outcome)
--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -41,9 +41,11 @@
     ProbeFailed,
     RecordSample,
     ServersLeaving,
+    ServersWarm,
 )
 
 LEAVING_KEY = 'vms/leaving'
+WARM_PREFIX = 'warm/'
 HEALTH_PREFIX = 'health/'
 ENTRY_ROLE = 'entry'
 BACKEND_ROLE = 'backend'
@@ -86,6 +88,10 @@
     )
 
 
+def _decode_names(blob: bytes) -> frozenset[str]:
+    return msgspec.json.decode(blob, type=frozenset[str])
+
+
 class EntryHub:
     """Pass news between the router, the peers and the store's readers.
 
@@ -104,6 +110,7 @@
     def __init__(self, member: Member, clock: Clock) -> None:
         self._member = member
         self._clock = clock
+        self._warm: frozenset[str] = frozenset()
         self._entries = 1
         self._configuration = Configuration()
         self._moving = False
@@ -163,6 +170,17 @@
         if news is not None:
             self._announce(HEALTH_PREFIX + probed.server, news)
 
+    def spread_warm(self) -> None:
+        """Tell the peers which owned servers have shown to be warm."""
+        if self._wiring is None:
+            return
+        warm = self._wiring.router.warm_owned
+        if warm != self._warm:
+            self._warm = warm
+            self._announce(
+                WARM_PREFIX + self._member.name, msgspec.json.encode(sorted(warm))
+            )
+
     def take_vm_list(self, listed: VmList) -> None:
         """Take the platform's list of VMs."""
         if self._wiring is None:
@@ -216,9 +234,10 @@
         match fact.key:
             case key if key.startswith(HEALTH_PREFIX):
                 self._take_told_health(key.removeprefix(HEALTH_PREFIX), fact.blob)
+            case key if key.startswith(WARM_PREFIX):
+                self._take_warm(_decode_names(fact.blob))
             case key if key == LEAVING_KEY:
-                names = msgspec.json.decode(fact.blob, type=list[str])
-                self._take_leaving(frozenset(names))
+                self._take_leaving(_decode_names(fact.blob))
             case _:
                 self._tell_rollout_of(fact)
 
@@ -228,6 +247,10 @@
             now_ms = self._clock.now_ms()
             self._wiring.router.take(HealthReported(now_ms, server, report))
 
+    def _take_warm(self, warm: frozenset[str]) -> None:
+        if self._wiring is not None:
+            self._wiring.router.take(ServersWarm(self._clock.now_ms(), warm))
+
     def _take_leaving(self, leaving: frozenset[str]) -> None:
         self._leaving = leaving
         if self._wiring is not None:
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -44,8 +44,8 @@
     Tick,
 )
 
-TICK_BUSY_MS = 5  # a tenth of the shortest hedge delay in use
-TICK_IDLE_MS = 50  # keeps the queues' clocks fresh at little cost
+TICK_MIN_MS = 1  # the loop's timers are no finer than this
+TICK_MAX_MS = 20  # deadlines of a router that names no time are this exact
 MS_PER_S = 1000
 DEFAULT_TIMEOUT_MS = 1000  # a search that is not declared is refused long before
 
@@ -63,6 +63,16 @@
         """Return how many connections this entry VM may hold to a server."""
         ...
 
+    @property
+    def due_ms(self) -> float | None:
+        """Return when the next tick is due at the latest."""
+        ...
+
+    @property
+    def warm_owned(self) -> frozenset[str]:
+        """Return the owned servers that have shown to be warm."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class RouterOutputs:
@@ -127,12 +137,19 @@
         self._pending: dict[str, _Pending] = {}
         self._sequence = itertools.count()
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_ms = float()
 
     @property
     def configuration(self) -> Configuration:
         """Configuration in force."""
         return self._configuration
 
+    @property
+    def warm_owned(self) -> frozenset[str]:
+        """Owned backend servers that have shown to be warm."""
+        return self._router.warm_owned
+
     @property
     def pending(self) -> int:
         """Number of callers that wait for an answer."""
@@ -227,14 +244,26 @@
         self._outputs.on_applied(configuration)
 
     def _tick(self) -> None:
+        self._timer = None
         self._step(Tick(self._clock.now_ms()))
-        delay_ms = TICK_BUSY_MS if self._pending else TICK_IDLE_MS
-        if self._loop is not None:
-            self._loop.call_later(delay_ms / MS_PER_S, self._tick)
 
     def _step(self, event: Event) -> None:
         for command in self._router.step(event):
             self._obey(command)
+        self._set_timer(event.now_ms)
+
+    def _set_timer(self, now_ms: float) -> None:
+        """Let the next tick come when the router wants it, or soon enough."""
+        due_ms = now_ms + TICK_MAX_MS
+        wanted_ms = self._router.due_ms
+        if wanted_ms is not None:
+            due_ms = min(due_ms, max(wanted_ms, now_ms + TICK_MIN_MS))
+        if self._loop is None or (self._timer and self._timer_ms <= due_ms):
+            return
+        if self._timer:
+            self._timer.cancel()
+        self._timer_ms = due_ms
+        self._timer = self._loop.call_later((due_ms - now_ms) / MS_PER_S, self._tick)
 
     def _obey(self, command: Command) -> None:
         match command:
--- a/cowsliploom/protocol/_caller.py
+++ b/cowsliploom/protocol/_caller.py
@@ -45,8 +45,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RunAnswer:
-    """Return the outcome; ``replayed`` marks a recorded one, not run again."""
+    """Return the outcome; ``replayed`` marks a recorded one, not run again.
+
+    ``outcome_kept`` is false when the request ran and its outcome was too long to
+    be recorded; ``outcome`` is then empty.
+    """
 
     request_id: str
     outcome: str
     replayed: bool
+    outcome_kept: bool = True
--- a/cowsliploom/routing/_naive.py
+++ b/cowsliploom/routing/_naive.py
@@ -108,6 +108,12 @@
         """Return no server: this policy knows no cold start."""
         return frozenset()
 
+    @property
+    def due_ms(self) -> float | None:
+        """Return the next deadline, in milliseconds; None without queries."""
+        times = [query.deadline_ms for query in self._queries.values()]
+        return min(times, default=None)
+
     def connection_allowance(self, server: str) -> int:
         """Return the connections that may be open to a server: all it accepts."""
         known = self._catalog.servers.get(server)
