Keep peer tasks alive through bad addresses and failing callbacks

A peer address that is none raised before the call's error handling, so a fetch of news ended without saying so and no later one was begun. The address is now read within it, and such a call is unanswered like any other: three new cases failed before, pass now. Events are handed to the owner after the step that caused them, so that a callback's failure can't end a step halfway; its test passed before as well and stays as a guard.

--- a/cowsliploom/adapters/_peers.py
+++ b/cowsliploom/adapters/_peers.py
@@ -174,30 +174,28 @@
         self, address: str, frame: Frame, timeout_ms: float
     ) -> Frame | PeerUnanswered:
         """Send a frame and return its answer."""
-        channel = self._open(address)
         message = encode_frame(frame)
         try:
-            reply = await PeerStub(channel).Exchange(
+            reply = await PeerStub(self._open(address)).Exchange(
                 message, timeout=timeout_ms / MS_PER_S
             )
             return decode_frame(reply)
         except CALL_ERRORS as error:
-            self._discard(address, channel)
+            self._discard(address)
             return PeerUnanswered('peer.exchange', address, repr(error))
 
     async def fetch(
         self, address: str, ask: FetchAsk, timeout_ms: float
     ) -> FetchAnswer | PeerUnanswered:
         """Ask a peer for news."""
-        channel = self._open(address)
         message = encode_ask(ask)
         try:
-            reply = await PeerStub(channel).Fetch(
+            reply = await PeerStub(self._open(address)).Fetch(
                 message, timeout=timeout_ms / MS_PER_S
             )
             return decode_answer(reply)
         except CALL_ERRORS as error:
-            self._discard(address, channel)
+            self._discard(address)
             return PeerUnanswered('peer.fetch', address, repr(error))
 
     def _open(self, address: str) -> Channel:
@@ -211,7 +209,7 @@
             oldest.close()
         return channel
 
-    def _discard(self, address: str, channel: Channel) -> None:
-        channel.close()
-        if self._channels.get(address) is channel:
-            self._channels.pop(address)
+    def _discard(self, address: str) -> None:
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
--- a/cowsliploom/adapters/tests/test_peers.py
+++ b/cowsliploom/adapters/tests/test_peers.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from cowsliploom.adapters import PeerChannels, PeerServer, PeerUnanswered
 from cowsliploom.coordination import FetchAnswer, FetchAsk, Frame, FrameKind, Member
 
@@ -68,6 +70,17 @@
     assert unanswered.peer == '127.0.0.1:1'
 
 
+@pytest.mark.parametrize('address', ['', 'nowhere', '127.0.0.1:port'])
+def test_address_that_is_none_is_an_unanswered_call(address):
+    async def play(server, channels):
+        frame = await channels.exchange(address, FRAME, TIMEOUT_MS)
+        fetched = await channels.fetch(address, FetchAsk(0), TIMEOUT_MS)
+        return frame, fetched
+
+    for unanswered in with_server(echo, play):
+        assert isinstance(unanswered, PeerUnanswered)
+
+
 def test_closed_server_answers_nobody_on_old_connections():
     async def play(server, channels):
         await channels.exchange(server.address, FRAME, TIMEOUT_MS)
--- a/cowsliploom/daemons/_peer_task.py
+++ b/cowsliploom/daemons/_peer_task.py
@@ -61,7 +61,8 @@
     settings : PeerTaskSettings
         Who this daemon is, and its times.
     on_event : callable
-        Called on the asyncio loop with each event, never from another thread.
+        Called on the asyncio loop with each event, in order, after the call that
+        caused it has returned; never from another thread.
     clock : Clock
         Boot-time monotonic clock. Default: the system's.
 
@@ -193,7 +194,8 @@
             case coordination.AnswerFetch(request_id, fetched):
                 self._fetch_answers[request_id] = fetched
             case _:
-                self.on_event(command)
+                # Called later, so that its failure ends no step halfway.
+                asyncio.get_running_loop().call_soon(self.on_event, command)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         running = asyncio.get_running_loop().create_task(work)
--- a/cowsliploom/daemons/tests/test_peer_task.py
+++ b/cowsliploom/daemons/tests/test_peer_task.py
@@ -113,6 +113,29 @@
     asyncio.run(play())
 
 
+def test_failing_callback_stops_neither_time_nor_the_next_events():
+    async def play():
+        fleet = await start_fleet(('de', 'de'))
+        task, recorder = fleet[0]
+        heard = []
+
+        def fail(event):
+            heard.append(event)
+            raise ValueError('callback fails')
+
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        task.on_event = fail
+        fleet[1][0].announce_fact(Fact('veto/x', 1, b'no'))
+        await until(lambda: any(isinstance(event, FactHeard) for event in heard))
+        fleet[1][0].announce_fact(Fact('veto/x', 2, b'no'))
+        await until(lambda: FactHeard(Fact('veto/x', 2, b'no')) in heard)
+        await asyncio.sleep(1)
+        assert {status.name for status in fleet[1][0].fleet()} == {'vm-0', 'vm-1'}
+        await close_fleet(fleet)
+
+    asyncio.run(play())
+
+
 def test_revision_counts_as_applied_only_once_it_is_in_force():
     async def play():
         fleet = await start_fleet(('de', 'de'))
