--- /dev/null
+++ b/tests/matrix/claim_subject.py
@@ -0,0 +1,132 @@
+"""Claim of a non-idempotent request, asked for at several entry VMs."""
+
+from dataclasses import dataclass, field
+from functools import partial
+
+from cowsliploom.coordination.tests.claims_world import Fault as StoreFault
+from cowsliploom.coordination.tests.claims_world import FakeStore, World
+from tests.matrix.table import Case, Fault, Finding, Subject, findings, strike
+
+SLOW_MS = 1200  # two such answers outlast the request's deadline
+STEPS = ('ask', 'read', 'swap', 'record', 'retry', 'reread')
+
+
+@dataclass
+class ClaimWorld:
+    """Play a request and its retries; daemons 0 to 2 serve them."""
+
+    world: World
+    store_faults: list[StoreFault] = field(default_factory=list)
+
+    def act(self, step: str) -> None:
+        if step == 'ask':
+            self.world.ask(0)
+        elif step == 'retry':
+            self.world.ask(1)
+        elif self.world.calls:
+            fault = self.store_faults.pop(0) if self.store_faults else StoreFault.NONE
+            self.world.answer(0, fault)
+        self.world.advance(20)
+
+    def end(self) -> None:
+        self.world.out = False
+        self.world.settle(4)
+        for daemon in range(self.world.daemons):
+            self.world.wake(daemon)
+        self.world.land_late()
+        self.world.settle()
+        self.world.ask(2)
+        self.world.settle()
+
+
+def fail_call(fault: StoreFault, world: ClaimWorld, _position: int) -> None:
+    world.store_faults.append(fault)
+
+
+def store_down(world: ClaimWorld, _position: int) -> None:
+    world.world.out = True
+
+
+def store_back(world: ClaimWorld, _position: int) -> None:
+    world.world.out = False
+
+
+def store_slow(world: ClaimWorld, _position: int) -> None:
+    world.world.advance(SLOW_MS)
+
+
+def pause(world: ClaimWorld, position: int) -> None:
+    world.world.paused.add(position)
+
+
+def pause_past_deadline(world: ClaimWorld, position: int) -> None:
+    world.world.paused.add(position)
+    world.world.advance(SLOW_MS * 2)
+    world.world.wake(position)
+
+
+def kill(world: ClaimWorld, position: int) -> None:
+    world.world.dead.add(position)
+
+
+def kill_at_send(world: ClaimWorld, position: int) -> None:
+    world.world.crash_before_send.add(position)
+
+
+def kill_after_send(world: ClaimWorld, position: int) -> None:
+    world.world.crash_after_send.add(position)
+
+
+def race(world: ClaimWorld, position: int) -> None:
+    world.world.ask(1 + position)
+
+
+def play_claim(case: Case, fenced: bool = True) -> tuple[Finding, ...]:
+    played = ClaimWorld(World(3, FakeStore(fenced)))
+    for step in STEPS:
+        strike(played, case, step)
+        played.act(step)
+    played.end()
+    world = played.world
+    undecided = [
+        ticket
+        for ticket, (daemon, _) in world.asked.items()
+        if ticket not in world.decisions and daemon not in world.dead
+    ]
+    return findings(
+        (
+            ('runs at most once', world.second_runs()),
+            ('not run is true', world.lies()),
+            ('each request is decided', undecided),
+        )
+    )
+
+
+CLAIM = Subject(
+    'claim',
+    STEPS,
+    (
+        *(
+            Fault(f'store-{fault}', partial(fail_call, fault))
+            for fault in StoreFault
+            if fault is not StoreFault.NONE
+        ),
+        Fault('store-down', store_down),
+        Fault('store-back', store_back),
+        Fault('store-slow', store_slow),
+        Fault('freeze', pause),
+        Fault('lapse-while-frozen', pause_past_deadline),
+        Fault('kill', kill),
+        Fault('kill-at-send', kill_at_send),
+        Fault('kill-after-send', kill_after_send),
+        Fault('race', race),
+    ),
+    play_claim,
+    pairs_max=1500,
+    left_out={
+        (name, step): 'the request was sent, or refused, before this step'
+        for name in ('kill-at-send', 'kill-after-send')
+        for step in ('record', 'reread')
+    }
+    | {('store-back', 'ask'): 'the store is not out yet'},
+)
