--- a/tests/matrix/test_matrix.py
+++ b/tests/matrix/test_matrix.py
@@ -4,9 +4,10 @@
 
 from tests.matrix.change_subject import CHANGE
 from tests.matrix.claim_subject import CLAIM
+from tests.matrix.query_subject import QUERY, WITHDRAWAL
 from tests.matrix.table import case_id
 
-SUBJECTS = (CLAIM, CHANGE)
+SUBJECTS = (CLAIM, CHANGE, QUERY, WITHDRAWAL)
 CASES = [
     pytest.param(subject, case, id=case_id(subject, case))
     for subject in SUBJECTS
@@ -16,4 +17,5 @@
 
 @pytest.mark.parametrize(('subject', 'case'), CASES)
 def test_promises_hold(subject, case):
-    assert not subject.play(case)
+    found = subject.play(case)
+    assert found == ()
