--- a/tests/matrix/test_matrix_can_fail.py
+++ b/tests/matrix/test_matrix_can_fail.py
@@ -26,11 +26,8 @@
 def broken_promises(subject: Subject, play=None, cases=None) -> set[str]:
     """Return the promises that single faults, or the given cases, break."""
     play = play or subject.play
-    return {
-        finding.promise
-        for case in (subject.singles() if cases is None else cases)
-        for finding in play(case)
-    }
+    cases = cases or subject.singles()
+    return {finding.promise for case in cases for finding in play(case)}
 
 
 def only(subject: Subject, *names: str):
