--- a/tests/matrix/test_matrix_can_fail.py
+++ b/tests/matrix/test_matrix_can_fail.py
@@ -13,6 +13,7 @@
 from cowsliploom.protocol import Ran
 from cowsliploom.resources import Accepted, ConfigurationLog, NotAccepted
 from cowsliploom.routing import ConfigurationApplied, NaiveRouter, Router
+from cowsliploom.routing._tracks import Block
 from cowsliploom.routing.tests.test_differential import accept_all, count_twice
 from tests.matrix.change_subject import CHANGE, play_change
 from tests.matrix.claim_subject import CLAIM, play_claim
@@ -155,6 +156,19 @@
     assert 'withdrawn gets no new work' in broken_promises(WITHDRAWAL, play, cases)
 
 
+class _RouterThatForgetsLeaving(Router):
+    def step(self, event):
+        for server in self._fleet.servers.values():
+            server.blocks.discard(Block.LEAVING)
+        return super().step(event)
+
+
+def test_leaving_server_that_is_forgotten_is_found():
+    play = partial(play_withdrawal, router_type=_RouterThatForgetsLeaving)
+    cases = only(WITHDRAWAL, 'straggler')
+    assert 'withdrawn gets no new work' in broken_promises(WITHDRAWAL, play, cases)
+
+
 def test_router_without_cold_allowance_is_found():
     play = partial(play_withdrawal, router_type=NaiveRouter)
     cases = only(WITHDRAWAL, 'cold', 'cold-lying')
