Revert the call headers left out

Conclusion: the cost of a call is in urllib3's and http.client's header parsing and in the hand-over between threads; fewer, larger calls are the way (docs/CAPACITY.md).

--- a/cowsliploom/adapters/_backend_http.py
+++ b/cowsliploom/adapters/_backend_http.py
@@ -15,7 +15,6 @@
     NewConnectionError,
     ReadTimeoutError,
 )
-from urllib3.util import SKIP_HEADER
 
 from cowsliploom.ports import Clock
 from cowsliploom.protocol import (
@@ -36,12 +35,7 @@
 CONTROL_TIMEOUT_MS = 1000  # probes and cancellations; a slower answer is stale
 IDLE_RETIRE_MS = 20000  # below common idle limits of middleboxes
 STATUS_OK = 200
-# Headers that no backend server reads are left out, as each costs both ends time.
-CALL_HEADERS = {  # noqa: WPS407
-    'Content-Type': 'application/json',
-    'User-Agent': SKIP_HEADER,
-    'Accept-Encoding': SKIP_HEADER,
-}
+JSON_HEADERS = {'Content-Type': 'application/json'}  # noqa: WPS407
 
 CallBody = SearchCall | RunCall
 
@@ -138,7 +132,7 @@
             method,
             path,
             body=None if body is None else msgspec.json.encode(body),
-            headers=CALL_HEADERS,
+            headers=JSON_HEADERS,
             timeout=urllib3.Timeout(
                 connect=min(timeout_ms, CONNECT_TIMEOUT_MS) / MS_PER_S,
                 total=timeout_ms / MS_PER_S,
