--- a/cowsliploom/daemons/_entry_config.py
+++ b/cowsliploom/daemons/_entry_config.py
@@ -1,20 +1,16 @@
 """The task that watches the store for configurations of a higher revision."""
 
-import random
 import threading
 from collections.abc import Callable
 from types import TracebackType
 
+from cowsliploom.coordination import Member, StoreWatchPlan, WatchStore
 from cowsliploom.daemons._entry_messages import ConfigurationOffered, SamplesCounted
-from cowsliploom.ports import Store, Unanswered, Unchanged
+from cowsliploom.ports import Clock, Store, Unanswered, Unchanged
 from cowsliploom.resources import HEAD_KEY, ConfigurationView, read_view
 
 READ_TIMEOUT_MS = 1000  # the store answers in milliseconds when it is up
-WATCH_WAIT_MS = 10000  # a waiting watch costs one call in this time
-POLL_MIN_MS = 20000  # 2,600 daemons that poll at this pace make 130 reads a second
-POLL_MAX_MS = 40000
-BACKOFF_FIRST_MS = 50
-BACKOFF_MAX_MS = 2000  # in force within 8 s holds also just after an outage
+STEP_MS = 100  # how often the plan is asked; a change may wait this long for it
 MS_PER_S = 1000
 
 Offer = Callable[[ConfigurationOffered | SamplesCounted], None]
@@ -27,10 +23,12 @@
     ----------
     store : Store
         The platform's store; used by this task's thread only.
+    clock : Clock
+        Clock of the plan.
+    plan : StoreWatchPlan
+        Decides which call is due; used by this task's thread only.
     offer : callable
         Takes each configuration read, on this task's thread.
-    seed : int
-        Seed of the jitter.
 
     Notes
     -----
@@ -38,15 +36,17 @@
     and poll rarely, so that calls on the store stay nearly flat as the fleet grows.
     """
 
-    def __init__(self, store: Store, offer: Offer, seed: int) -> None:
+    def __init__(
+        self, store: Store, clock: Clock, plan: StoreWatchPlan, offer: Offer
+    ) -> None:
         self._store = store
+        self._clock = clock
+        self._plan = plan
         self._offer = offer
-        self._random = random.Random(seed)
         self._view = ConfigurationView()
-        self._watching = True
-        self._stopped = False
-        self._wake = threading.Event()
-        self._backoff_ms = float(BACKOFF_FIRST_MS)
+        self._has_read = False
+        self._live: tuple[Member, ...] | None = None
+        self._stop = threading.Event()
 
     def __enter__(self) -> 'ConfigurationWatch':
         """Start the task."""
@@ -63,56 +63,59 @@
         traceback: TracebackType | None,
     ) -> None:
         """Ask the task to end; a waiting watch is left to its timeout."""
-        self._stopped = True
-        self._wake.set()
+        self._stop.set()
 
-    def choose(self, *, watching: bool) -> None:
-        """Take whether this entry VM is one of its data centre's watchers."""
-        if watching != self._watching:
-            self._watching = watching
-            self._wake.set()
+    def members_changed(self, live: tuple[Member, ...]) -> None:
+        """Take the live members; may be called on any thread."""
+        self._live = live
 
     def _run(self) -> None:
-        while not self._stopped:
-            self._read()
-            self._wait()
-
-    def _read(self) -> None:
-        self._offer(SamplesCounted('store_reads'))
-        view = read_view(self._store, self._view.chunks, READ_TIMEOUT_MS)
-        if isinstance(view, Unanswered):
-            self._offer(SamplesCounted('store_unanswered'))
-            self._back_off()
+        while not self._stop.is_set():
+            self._take_members()
+            now_ms = self._clock.now_ms()
+            call = self._plan.next_call(now_ms, self._view.stored.version)
+            if call is None:
+                self._stop.wait(STEP_MS / MS_PER_S)
+            else:
+                self._perform(call)
+
+    def _take_members(self) -> None:
+        live = self._live
+        if live is not None:
+            self._live = None
+            self._plan.members_changed(self._clock.now_ms(), live)
+
+    def _perform(self, call: WatchStore) -> None:
+        is_answered = self._read() if self._is_read(call) else self._watch(call)
+        if is_answered:
+            self._plan.answered(self._clock.now_ms())
             return
-        self._backoff_ms = BACKOFF_FIRST_MS
-        if view.stored.version >= self._view.stored.version:
-            self._view = view
-            self._offer(ConfigurationOffered(view.configuration, 'store'))
+        self._offer(SamplesCounted('store_unanswered'))
+        self._plan.unanswered(self._clock.now_ms())
 
-    def _wait(self) -> None:
-        if not self._watching:
-            self._wake.clear()
-            pause_ms = self._random.uniform(POLL_MIN_MS, POLL_MAX_MS)
-            self._wake.wait(pause_ms / MS_PER_S)
-            return
-        while self._watching and not self._stopped:
-            if self._changed():
-                return
+    def _is_read(self, call: WatchStore) -> bool:
+        """Tell whether to read at once: for a poll, and for the first call."""
+        return not call.wait_ms or not self._has_read
 
-    def _changed(self) -> bool:
+    def _watch(self, call: WatchStore) -> bool:
+        """Wait for a higher version and read it; return whether the store answered."""
         self._offer(SamplesCounted('store_watches'))
-        answer = self._store.watch(HEAD_KEY, self._view.stored.version, WATCH_WAIT_MS)
+        answer = self._store.watch(HEAD_KEY, call.after_revision, call.wait_ms)
         match answer:
             case Unanswered():
-                self._offer(SamplesCounted('store_unanswered'))
-                self._back_off()
                 return False
             case Unchanged():
-                return False
-        return True
+                return True
+        return self._read()
 
-    def _back_off(self) -> None:
-        pause_ms = self._random.uniform(0, self._backoff_ms)
-        self._backoff_ms = min(self._backoff_ms * 2, BACKOFF_MAX_MS)
-        self._wake.clear()
-        self._wake.wait(pause_ms / MS_PER_S)
+    def _read(self) -> bool:
+        """Read the configuration and offer it; return whether the store answered."""
+        self._offer(SamplesCounted('store_reads'))
+        view = read_view(self._store, self._view.chunks, READ_TIMEOUT_MS)
+        if isinstance(view, Unanswered):
+            return False
+        self._has_read = True
+        if view.stored.version >= self._view.stored.version:
+            self._view = view
+            self._offer(ConfigurationOffered(view.configuration, 'store'))
+        return True
--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -16,7 +16,7 @@
     PartLog,
     SystemClock,
 )
-from cowsliploom.coordination import Fact, Member, MemberStatus
+from cowsliploom.coordination import Fact, Member, MemberStatus, StoreWatchPlan
 from cowsliploom.daemons._claims_task import ClaimsTask
 from cowsliploom.daemons._entry_backends import Backends
 from cowsliploom.daemons._entry_config import ConfigurationWatch
@@ -110,8 +110,9 @@
         claims = stack.enter_context(
             ClaimsTask(self._open_store(stack), self.clock, self._identity)
         )
+        plan = StoreWatchPlan(self.settings.name, self.settings.data_centre, self._seed)
         watch = ConfigurationWatch(
-            self._open_store(stack), self._router.post, self._seed
+            self._open_store(stack), self.clock, plan, self._router.post
         )
         vms = VmListReader(
             self._open_store(stack),
--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -199,7 +199,7 @@
         self._wiring.router.take(EntriesCounted(self._clock.now_ms(), entries))
         watchers = chosen_watchers(live, self._member.data_centre)
         chosen = self._member.name in watchers
-        self._wiring.watch.choose(watching=chosen)
+        self._wiring.watch.members_changed(live)
         self._wiring.vms.choose(chosen=chosen)
         self._wiring.rollout.candidate(is_candidate=chosen)
         self._entries = entries
