--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -57,6 +57,7 @@
 
 
 BENCHMARKS = (
+    Benchmark('entry_cost', 'an entry daemon: idle, and for each sub-request'),
     Benchmark('routing_cost', 'processor time of routing for each sub-request'),
     Benchmark('routing_policies', 'router beside naive, simulated servers'),
     Benchmark('policies', 'router beside naive, real processes'),
