--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -121,9 +121,15 @@
         self._wiring: Wiring | None = None
 
     def connect(self, wiring: Wiring) -> None:
-        """Take the tasks to pass news between."""
+        """Take the tasks to pass news between; comes before any event."""
         self._wiring = wiring
 
+    @property
+    def _tasks(self) -> Wiring:
+        if self._wiring is None:
+            raise RuntimeError('hub: got an event, expected connect before it')
+        return self._wiring
+
     def take_peer_event(self, event: PeerEvent) -> None:
         """Take what the peers tell."""
         match event:
@@ -134,7 +140,7 @@
             case ConfigurationHeard():
                 self._take_configuration(event.blob)
             case FactHeard():
-                self._take_fact(event.fact)
+                self._hear(event.fact)
             case Superseded():
                 self._log.write('Another process has this name.', peer=event.by.address)
 
@@ -148,11 +154,10 @@
             resource.kind is Kind.VERSION_MOVE for resource in configuration.resources
         )
         self._configure_rollout()
-        if self._wiring is not None:
-            self._wiring.peers.watch_servers(servers)
-            self._wiring.peers.announce_configuration(
-                configuration.revision, encode_configuration(configuration)
-            )
+        self._tasks.peers.watch_servers(servers)
+        self._tasks.peers.announce_configuration(
+            configuration.revision, encode_configuration(configuration)
+        )
         self._log.write(
             'Configuration in force.',
             revision=configuration.revision,
@@ -161,8 +166,8 @@
 
     def take_sample(self, sample: RecordSample) -> None:
         """Pass evidence on while there is a version move."""
-        if self._moving and self._wiring is not None:
-            self._wiring.rollout.sample(sample)
+        if self._moving:
+            self._tasks.rollout.sample(sample)
 
     def take_probe(self, probed: HealthReported | ProbeFailed) -> None:
         """Take a server's health, or that it does not answer."""
@@ -172,9 +177,7 @@
 
     def spread_warm(self) -> None:
         """Tell the peers which owned servers have shown to be warm."""
-        if self._wiring is None:
-            return
-        warm = self._wiring.router.warm_owned
+        warm = self._tasks.router.warm_owned
         if warm != self._warm:
             self._warm = warm
             self._announce(
@@ -183,51 +186,50 @@
 
     def take_vm_list(self, listed: VmList) -> None:
         """Take the platform's list of VMs."""
-        if self._wiring is None:
-            return
-        self._wiring.peers.seeds_listed(entry_members(listed))
+        self._tasks.peers.seeds_listed(entry_members(listed))
         leaving = leaving_backends(listed.vms)
         if leaving != self._leaving:
             self._take_leaving(leaving)
             self._announce(LEAVING_KEY, msgspec.json.encode(sorted(leaving)))
 
     def _take_members(self, event: MembersChanged) -> None:
-        if self._wiring is None:
-            return
         live = event.live
         entries = max(1, len(live))
-        self._wiring.router.take(EntriesCounted(self._clock.now_ms(), entries))
+        self._tasks.router.take(EntriesCounted(self._clock.now_ms(), entries))
         watchers = chosen_watchers(live, self._member.data_centre)
         chosen = self._member.name in watchers
-        self._wiring.watch.members_changed(live)
-        self._wiring.vms.choose(chosen=chosen)
-        self._wiring.rollout.candidate(is_candidate=chosen)
+        self._tasks.watch.members_changed(live)
+        self._tasks.vms.choose(chosen=chosen)
+        self._tasks.rollout.candidate(is_candidate=chosen)
         self._entries = entries
         self._configure_rollout()
         self._log.write('Members changed.', live=len(live), watcher=chosen)
 
     def _configure_rollout(self) -> None:
-        if self._wiring is not None:
-            self._wiring.rollout.configuration(self._configuration, self._entries)
+        self._tasks.rollout.configuration(self._configuration, self._entries)
 
     def _tell_rollout_of(self, fact: Fact) -> None:
-        if self._wiring is not None:
-            self._wiring.rollout.fact_heard(fact.key, fact.generation, fact.blob)
+        self._tasks.rollout.fact_heard(fact.key, fact.generation, fact.blob)
 
     def _take_ownership(self, owned: frozenset[str]) -> None:
         now_ms = self._clock.now_ms()
         self.health.own(now_ms, owned)
-        if self._wiring is not None:
-            self._wiring.router.take(OwnershipChanged(now_ms, owned))
+        self._tasks.router.take(OwnershipChanged(now_ms, owned))
 
     def _take_configuration(self, blob: bytes) -> None:
         try:
             configuration = decode_configuration(blob)
-        except ValueError as error:
+        except (ValueError, msgspec.MsgspecError) as error:
             self._log.write('Peer sent a bad configuration.', reason=str(error))
             return
-        if self._wiring is not None:
-            self._wiring.router.take(ConfigurationOffered(configuration, 'peer'))
+        self._tasks.router.take(ConfigurationOffered(configuration, 'peer'))
+
+    def _hear(self, fact: Fact) -> None:
+        """Take a fact; one that can't be read costs nothing but itself."""
+        try:
+            self._take_fact(fact)
+        except msgspec.MsgspecError as error:
+            self._log.write('Peer sent a bad fact.', key=fact.key, reason=str(error))
 
     def _take_fact(self, fact: Fact) -> None:
         self._generations[fact.key] = fact.generation
@@ -243,22 +245,18 @@
 
     def _take_told_health(self, server: str, blob: bytes) -> None:
         report = self.health.take_told(server, blob)
-        if report is not None and self._wiring is not None:
+        if report is not None:
             now_ms = self._clock.now_ms()
-            self._wiring.router.take(HealthReported(now_ms, server, report))
+            self._tasks.router.take(HealthReported(now_ms, server, report))
 
     def _take_warm(self, warm: frozenset[str]) -> None:
-        if self._wiring is not None:
-            self._wiring.router.take(ServersWarm(self._clock.now_ms(), warm))
+        self._tasks.router.take(ServersWarm(self._clock.now_ms(), warm))
 
     def _take_leaving(self, leaving: frozenset[str]) -> None:
         self._leaving = leaving
-        if self._wiring is not None:
-            self._wiring.router.take(ServersLeaving(self._clock.now_ms(), leaving))
+        self._tasks.router.take(ServersLeaving(self._clock.now_ms(), leaving))
 
     def _announce(self, key: str, blob: bytes) -> None:
-        if self._wiring is None:
-            return
         generation = max(self._generations.get(key, 0) + 1, int(self._clock.wall_ms()))
         self._generations[key] = generation
-        self._wiring.peers.announce_fact(Fact(key, generation, blob))
+        self._tasks.peers.announce_fact(Fact(key, generation, blob))
