--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -99,6 +99,7 @@
     module = f'benchmarks.{benchmark.name}'
     command = [sys.executable, '-m', module, *benchmark.flags]
     machine = describe_machine()
+    commit = read_commit()
     started_s = time.monotonic()
     ended = subprocess.run(
         command,
@@ -113,7 +114,7 @@
         benchmark.name,
         benchmark.measures,
         ' '.join(('python -m', module, *benchmark.flags)),
-        read_commit(),
+        commit,
         datetime.datetime.now(datetime.UTC).isoformat(timespec='seconds'),
         round(time.monotonic() - started_s, 1),
         ended.returncode,
