Mend what the read-through found: twins, dead code, a scan on each search

Cause: the address of a server was split by hand in three places beside split_address, and a connection was opened anew in three ways; a search without a time limit scanned all resources for its default; Backends.names had no caller; the exit status of a cut drain stood twice; restart judged a closed query's services before it looked whether the query was closed. Ruled out: one split_address for the stand-ins too (theirs checks and names the flag). The new test of a query that lost all its services is a guard, it was not seen to fail before. Conclusion: connections renew in one place, time limits are looked up by name.

--- a/cowsliploom/adapters/_backend_http.py
+++ b/cowsliploom/adapters/_backend_http.py
@@ -16,6 +16,7 @@
     ReadTimeoutError,
 )
 
+from cowsliploom.adapters._http_server import split_address
 from cowsliploom.ports import Clock
 from cowsliploom.protocol import (
     CallRefusal,
@@ -88,20 +89,29 @@
             return '/v1/run', RunReply
 
 
+def _open_pool(address: str) -> urllib3.HTTPConnectionPool:
+    host, port = split_address(address)
+    return urllib3.HTTPConnectionPool(host, port, maxsize=1, block=True)
+
+
 class _Connection:
     """Own one connection to a backend server; used by one thread only."""
 
     def __init__(self, address: str, clock: Clock) -> None:
-        host, port = address.rsplit(':', 1)
         self._address = address
         self._clock = clock
         self._used_ms = clock.now_ms()
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1, block=True)
+        self._pool = _open_pool(address)
 
     def close(self) -> None:
         """Close the connection."""
         self._pool.close()
 
+    def renew(self) -> None:
+        """Close the connection; the next call opens a fresh one."""
+        self.close()
+        self._pool = _open_pool(self._address)
+
     def call(self, request: CallRequest) -> CallOutcome:
         """Send a call and wait for its outcome until the deadline."""
         left_ms = request.deadline_ms - self._clock.now_ms()
@@ -126,7 +136,7 @@
         """Send a request on a connection young enough to be trusted."""
         now_ms = self._clock.now_ms()
         if now_ms - self._used_ms > IDLE_RETIRE_MS:
-            self._renew()
+            self.renew()
         self._used_ms = now_ms
         return self._pool.urlopen(
             method,
@@ -140,11 +150,6 @@
             retries=False,
         )
 
-    def _renew(self) -> None:
-        host, port = self._address.rsplit(':', 1)
-        self._pool.close()
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1, block=True)
-
     def _decode(
         self,
         response: urllib3.BaseHTTPResponse,
@@ -274,8 +279,7 @@
                 break
             if generation != self._generation:
                 generation = self._generation
-                connection.close()
-                connection = _Connection(self.address, self._clock)
+                connection.renew()
             self._on_outcome(self.name, request.call_id, connection.call(request))
         connection.close()
 
--- a/cowsliploom/adapters/_peers.py
+++ b/cowsliploom/adapters/_peers.py
@@ -13,6 +13,7 @@
 from grpclib.server import Server, Stream
 
 from cowsliploom.adapters import peer_pb2
+from cowsliploom.adapters._http_server import split_address
 from cowsliploom.adapters._peer_codec import (
     decode_answer,
     decode_ask,
@@ -201,8 +202,7 @@
     def _open(self, address: str) -> Channel:
         channel = self._channels.pop(address, None)
         if channel is None:
-            host, _, port = address.rpartition(':')
-            channel = Channel(host, int(port))
+            channel = Channel(*split_address(address))
         self._channels[address] = channel
         if len(self._channels) > self.channels_max:
             _, oldest = self._channels.popitem(last=False)
--- a/cowsliploom/daemons/_entry_backends.py
+++ b/cowsliploom/daemons/_entry_backends.py
@@ -139,11 +139,6 @@
                 _ReportPost(server, self._post, self._clock), with_load=with_load
             )
 
-    @property
-    def names(self) -> tuple[str, ...]:
-        """Names of the backend servers, sorted."""
-        return tuple(sorted(self._servers))
-
     def _take_outcome(self, server: str, call_id: str, outcome: CallOutcome) -> None:
         self._post(event_of(self._clock.now_ms(), server, call_id, outcome))
 
--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -27,6 +27,7 @@
 from cowsliploom.daemons._entry_vms import VmListReader
 from cowsliploom.daemons._peer_task import PeerTask, PeerTaskSettings
 from cowsliploom.daemons._rollout_task import RolloutTask
+from cowsliploom.daemons._shutdown import EXIT_CUT
 from cowsliploom.routing import NaiveRouter, Router, RouterSettings
 
 MS_PER_S = 1000
@@ -177,7 +178,7 @@
 
     def _take_signal(self, stop: asyncio.Event) -> None:
         if stop.is_set():
-            os._exit(1)  # noqa: WPS437
+            os._exit(EXIT_CUT)  # noqa: WPS437
         stop.set()
 
     def _probe(self) -> None:
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -19,7 +19,7 @@
 )
 from cowsliploom.ports import Clock
 from cowsliploom.protocol import Ran
-from cowsliploom.resources import Configuration, Kind, SearchSpec
+from cowsliploom.resources import Configuration, SearchSpec
 from cowsliploom.routing import (
     AnswerQuery,
     AnswerRun,
@@ -134,6 +134,7 @@
         self._clock = clock
         self._outputs = outputs
         self._configuration = Configuration()
+        self._timeouts_ms: dict[str, float] = {}
         self._pending: dict[str, _Pending] = {}
         self._sequence = itertools.count()
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -197,7 +198,9 @@
 
     def _take_search(self, asked: SearchAsked) -> None:
         now_ms = self._clock.now_ms()
-        timeout_ms = asked.timeout_ms or self._default_timeout_ms(asked.search)
+        timeout_ms = asked.timeout_ms or self._timeouts_ms.get(
+            asked.search, DEFAULT_TIMEOUT_MS
+        )
         self._step(
             QueryArrived(
                 now_ms,
@@ -228,17 +231,15 @@
         self._pending[query_id] = _Pending(asked, now_ms)
         return query_id
 
-    def _default_timeout_ms(self, search: str) -> float:
-        for resource in self._configuration.resources:
-            if resource.kind is Kind.SEARCH and resource.name == search:
-                if isinstance(resource.spec, SearchSpec):
-                    return resource.spec.timeout_ms
-        return DEFAULT_TIMEOUT_MS
-
     def _take_configuration(self, configuration: Configuration) -> None:
         if configuration.revision <= self._configuration.revision:
             return
         self._configuration = configuration
+        self._timeouts_ms = {
+            resource.name: resource.spec.timeout_ms
+            for resource in configuration.resources
+            if isinstance(resource.spec, SearchSpec)
+        }
         self._backends.apply(server_specs(configuration))
         self._step(ConfigurationApplied(self._clock.now_ms(), configuration))
         self._outputs.on_applied(configuration)
--- a/cowsliploom/routing/_queries.py
+++ b/cowsliploom/routing/_queries.py
@@ -139,14 +139,14 @@
 
     def restart(self, query: OpenQuery, now_ms: float) -> bool:
         """Begin again on a newer snapshot, if there is one and time is left."""
+        if query.is_closed or query.restarts >= RESTARTS_MAX:
+            return False
         plan = self._planner.pin(query.route, query.search, now_ms)
         slowest_ms = max(work.service.typical_ms for work in query.open_works.values())
         has_time = query.deadline_ms - now_ms >= 2 * slowest_ms
         is_newer = plan is not None and plan.snapshot > query.plan.snapshot
         if plan is None or not is_newer or not has_time:
             return False
-        if query.is_closed or query.restarts >= RESTARTS_MAX:
-            return False
         query.restarts += 1
         self._waits.remove(query.name)
         self._context.count('restarts')
--- a/cowsliploom/routing/tests/test_snapshot_wait.py
+++ b/cowsliploom/routing/tests/test_snapshot_wait.py
@@ -97,3 +97,15 @@
     assert told['late'].cause is RefusalCause.NO_SNAPSHOT
     assert told['late'].ran is Ran.NO
     assert driver.router.idle
+
+
+def test_query_that_lost_all_its_services_is_refused_once():
+    driver = Driver(services=2)
+    sent = driver.ask()
+    for service in ('s0', 's1'):
+        refused = only(driver.refuse(sent[service], GONE), SendSearch)
+        while refused:
+            refused = only(driver.refuse(refused[0], GONE), SendSearch)
+    driver.tick(400.0)
+    assert [refusal.query_id for refusal in driver.all(RefuseCaller)] == ['q']
+    assert driver.router.idle
