--- a/cowsliploom/coordination/__init__.py
+++ b/cowsliploom/coordination/__init__.py
@@ -89,3 +89,9 @@
 from cowsliploom.coordination._settings import (
     check_membership_settings as check_membership_settings,
 )
+from cowsliploom.coordination._mirror import Batch as Batch
+from cowsliploom.coordination._mirror import MirrorItem as MirrorItem
+from cowsliploom.coordination._mirror import Removal as Removal
+from cowsliploom.coordination._mirror import StoreMirror as StoreMirror
+from cowsliploom.coordination._acquaintances import Acquaintances as Acquaintances
+from cowsliploom.coordination._acquaintances import Sighting as Sighting
--- /dev/null
+++ b/cowsliploom/coordination/_acquaintances.py
@@ -0,0 +1,138 @@
+"""Members that find each other from a few seed addresses, by hearsay with ages."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cowsliploom.coordination._members import Member
+
+LIVE_MS = 4000.0  # silence after which a member no longer counts
+FORGET_MS = 20_000.0  # silence after which nobody speaks of a member any more
+OWN_DATA_CENTRE_SHARE = 0.75  # of all exchanges; the rest cross to another one
+
+
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """Tell when a member was last known to be alive.
+
+    Parameters
+    ----------
+    member : Member
+        Whom it is about.
+    age_ms : float
+        Time since the member itself spoke.
+    """
+
+    member: Member
+    age_ms: float
+
+
+class Acquaintances:
+    """Hold who has been alive lately, by own exchanges and by hearsay.
+
+    Parameters
+    ----------
+    own : Member
+        This daemon.
+    seeds : tuple of str
+        Addresses to begin with; they may be stale.
+    seed : int
+        Seed of the generator that picks partners.
+
+    Examples
+    --------
+    >>> own = Member('a', '10.0.0.1:1', 'de')
+    >>> known = Acquaintances(own, seeds=('10.0.0.2:1',), seed=1)
+    >>> known.partner(now_ms=0)
+    '10.0.0.2:1'
+    >>> other = Member('b', '10.0.0.2:1', 'de', incarnation=5)
+    >>> known.hear((Sighting(other, age_ms=0),), now_ms=0)
+    ('b',)
+    >>> known.live_names(now_ms=5000)
+    ('a',)
+    """
+
+    def __init__(self, own: Member, seeds: tuple[str, ...], seed: int) -> None:
+        self.own = own
+        self.seeds = seeds
+        self.has_heard = False
+        self._random = random.Random(seed)
+        self._seen_ms: dict[str, float] = {}
+        self._members: dict[str, Member] = {}
+
+    def hear(self, sightings: Iterable[Sighting], now_ms: float) -> tuple[str, ...]:
+        """Take sightings and return the names that are new."""
+        fresh = []
+        for sighting in sightings:
+            member = sighting.member
+            if member.name == self.own.name:
+                continue
+            self.has_heard = True
+            if self._take(member, now_ms - sighting.age_ms):
+                fresh.append(member.name)
+        return tuple(fresh)
+
+    def left(self, name: str) -> None:
+        """Forget a member that has said that it leaves."""
+        self._seen_ms.pop(name, None)
+        self._members.pop(name, None)
+
+    def sightings(self, now_ms: float) -> tuple[Sighting, ...]:
+        """Return what to tell a partner, this daemon included."""
+        self._forget(now_ms)
+        others = (
+            Sighting(member, now_ms - self._seen_ms[name])
+            for name, member in self._members.items()
+        )
+        return (Sighting(self.own, 0), *others)
+
+    def live(self, now_ms: float) -> tuple[Member, ...]:
+        """Return the members that were alive lately, this daemon included."""
+        others = (
+            member
+            for name, member in self._members.items()
+            if now_ms - self._seen_ms[name] <= LIVE_MS
+        )
+        return (self.own, *others)
+
+    def live_names(self, now_ms: float) -> tuple[str, ...]:
+        """Return the names of the live members."""
+        return tuple(member.name for member in self.live(now_ms))
+
+    def partner(self, now_ms: float) -> str | None:
+        """Return the address to exchange with next.
+
+        Notes
+        -----
+        A seed is asked when nobody is known, and now and then, so that two groups
+        that lost sight of each other meet again.
+        """
+        others = [member for member in self.live(now_ms) if member is not self.own]
+        seeds = [seed for seed in self.seeds if seed != self.own.address]
+        if seeds and (not others or self._random.random() < 0.1):
+            return self._random.choice(seeds)
+        near = [
+            member for member in others if member.data_centre == self.own.data_centre
+        ]
+        if near and self._random.random() < OWN_DATA_CENTRE_SHARE:
+            return self._random.choice(near).address
+        return self._random.choice(others).address if others else None
+
+    def _take(self, member: Member, seen_ms: float) -> bool:
+        known = self._members.get(member.name)
+        if known is not None and member.incarnation < known.incarnation:
+            return False
+        self._members[member.name] = member
+        self._seen_ms[member.name] = max(
+            seen_ms, self._seen_ms.get(member.name, seen_ms)
+        )
+        return known is None
+
+    def _forget(self, now_ms: float) -> None:
+        old = [
+            name
+            for name, seen_ms in self._seen_ms.items()
+            if now_ms - seen_ms > FORGET_MS
+        ]
+        for name in old:
+            self.left(name)
--- /dev/null
+++ b/cowsliploom/dataplane/_client.py
@@ -0,0 +1,372 @@
+"""HTTP/1.1 connections to servers on the event loop, kept and used again."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import cast
+
+import httptools
+
+from cowsliploom.dataplane._sockets import end_when_silent, split_address
+
+MS_PER_S = 1000
+CONNECT_TIMEOUT_MS = 250  # an opening packet that is dropped comes again too late
+IDLE_GRACE_MS = 700  # a kept connection is given up this long before its server would
+IDLE_DEFAULT_MS = 4000  # for servers that don't say how long they keep one
+STALE_ANSWERS_MAX = (
+    3  # late answers to earlier requests, before a connection is dropped
+)
+
+HeaderList = list[tuple[str, str]]
+
+
+class FailedStep(StrEnum):
+    """Name the step at which a call failed."""
+
+    CONNECT = 'connect'
+    SEND = 'send'
+    RECEIVE = 'receive'
+    DECODE = 'decode'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Hold a server's whole answer."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpFailure:
+    """Report a call that got no whole answer.
+
+    Parameters
+    ----------
+    step : FailedStep
+        At which step.
+    peer : str
+        Address of the server.
+    reason : str
+        What was seen.
+    may_have_run : bool
+        False only when no byte of the request was sent.
+    """
+
+    step: FailedStep
+    peer: str
+    reason: str
+    may_have_run: bool
+
+
+CallResult = HttpAnswer | HttpFailure
+
+
+class HttpCall:
+    """Hold one call: what is sent, and who hears of its end.
+
+    Parameters
+    ----------
+    content : bytes
+        Whole request as it is sent.
+    on_result : callable
+        Called once with the answer or the failure; never after a drop.
+    is_own : callable
+        Tells whether an answer belongs to this call; others are passed over.
+    """
+
+    def __init__(
+        self,
+        content: bytes,
+        on_result: Callable[[CallResult], None],
+        is_own: Callable[[HttpAnswer], bool] = lambda answer: True,
+    ) -> None:
+        self.content = content
+        self.on_result = on_result
+        self.is_own = is_own
+        self.connection: CallConnection | None = None
+        self.is_ended = False
+
+    def end(self, result: CallResult) -> None:
+        """Tell the result, unless the call has ended already."""
+        if not self.is_ended:
+            self.is_ended = True
+            self.connection = None
+            self.on_result(result)
+
+    def drop(self) -> None:
+        """Close the connection of a call whose answer nobody needs."""
+        self.is_ended = True
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Finished:
+    """Hold a whole answer until the rest of what came with it is read."""
+
+    call: HttpCall
+    answer: HttpAnswer
+    keep: bool
+
+
+class CallConnection(asyncio.Protocol):
+    """Own one connection to a server; one call at a time.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Pool that the connection returns to.
+    """
+
+    def __init__(self, pool: 'ConnectionPool') -> None:
+        self.pool = pool
+        self.idle_since_ms = 0.0
+        self.idle_max_ms: float = IDLE_DEFAULT_MS
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._call: HttpCall | None = None
+        self._headers: HeaderList = []
+        self._body: list[bytes] = []
+        self._in_message = False
+        self._is_framed = False
+        self._stale_answers = 0
+        self._finished: _Finished | None = None
+        self._has_extra = False
+
+    # The loop's side.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        raw = transport.get_extra_info('socket')
+        if raw is not None:
+            end_when_silent(raw, self.pool.silent_timeout_ms)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse what came; bytes that no call waits for end the connection."""
+        if self._call is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(chunk)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._finished is None:
+                self._fail(FailedStep.DECODE, repr(error))
+            self._has_extra = True
+        self._deliver()
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length of its own."""
+        has_answer = self._in_message and not self._is_framed and self._headers
+        if self._call is not None and has_answer:
+            self._complete(keep=False)
+            self._deliver()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the open call."""
+        self._transport = None
+        self.pool.forget(self)
+        if self._call is not None:
+            self._fail(FailedStep.RECEIVE, repr(exc) if exc else 'connection closed')
+
+    # The parser's side.
+
+    def on_message_begin(self) -> None:
+        """Start an answer; one beyond the call's own ends the connection."""
+        self._has_extra = self._finished is not None
+        if self._has_extra:
+            return
+        self._in_message = True
+        self._is_framed = False
+        self._headers = []
+        self._body = []
+
+    def on_header(self, name: bytes, header: bytes) -> None:
+        """Take a header."""
+        if self._finished is not None:
+            return
+        key = name.decode('latin-1')
+        if key.lower() in {'content-length', 'transfer-encoding'}:
+            self._is_framed = True
+        self._headers.append((key, header.decode('latin-1')))
+
+    def on_body(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        if self._finished is None:
+            self._body.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Take a whole answer."""
+        if self._finished is None and self._parser.get_status_code() >= 200:
+            self._complete(keep=self._parser.should_keep_alive())
+
+    # The pool's side.
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection can be used."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, call: HttpCall) -> None:
+        """Send a call."""
+        self._call = call
+        self._stale_answers = 0
+        call.connection = self
+        if self._transport is None:
+            self._fail(FailedStep.SEND, 'connection closed', may_have_run=False)
+        else:
+            self._transport.write(call.content)
+
+    def abort(self) -> None:
+        """Close at once and forget the call."""
+        self._call = None
+        self.pool.forget(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close in order."""
+        self.pool.forget(self)
+        if self._transport is not None:
+            self._transport.close()
+
+    def _complete(self, keep: bool) -> None:
+        self._in_message = False
+        call = self._call
+        if call is None:
+            return
+        answer = HttpAnswer(
+            self._parser.get_status_code(), self._headers, b''.join(self._body)
+        )
+        if call.is_own(answer):
+            self._finished = _Finished(call, answer, keep)
+            return
+        self._stale_answers += 1
+        if not keep or self._stale_answers > STALE_ANSWERS_MAX:
+            self._fail(FailedStep.DECODE, 'answer to another request')
+
+    def _deliver(self) -> None:
+        """Hand on a finished answer once all bytes that came with it are read."""
+        finished, self._finished = self._finished, None
+        if finished is None:
+            return
+        self._call = None
+        if finished.keep and not (self._stale_answers or self._has_extra):
+            self._keep()
+        else:
+            self.close()
+        finished.call.end(finished.answer)
+
+    def _keep(self) -> None:
+        for name, header in self._headers:
+            if name.lower() == 'keep-alive':
+                self.idle_max_ms = _idle_ms(header, self.idle_max_ms)
+        self.pool.keep(self)
+
+    def _fail(self, step: FailedStep, reason: str, may_have_run: bool = True) -> None:
+        call, self._call = self._call, None
+        self.abort()
+        if call is not None:
+            call.end(HttpFailure(step, self.pool.address, reason, may_have_run))
+
+
+class ConnectionPool:
+    """Own the connections to one address.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` with an IP number.
+    connect_timeout_ms : float
+        Time for a new connection.
+    silent_timeout_ms : int
+        Time after which a connection whose peer is silent ends.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+        silent_timeout_ms: int = 2000,
+    ) -> None:
+        self.address = address
+        self.connect_timeout_ms = connect_timeout_ms
+        self.silent_timeout_ms = silent_timeout_ms
+        self.opened = 0
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[CallConnection] = []
+        self._opening: set[asyncio.Task[None]] = set()
+        self._all: set[CallConnection] = set()
+        self._is_closed = False
+
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._all)
+
+    def send(self, call: HttpCall) -> None:
+        """Send a call on a kept connection or a new one."""
+        now_ms = self._loop.time() * MS_PER_S
+        while self._idle:
+            connection = self._idle.pop()
+            rested_ms = now_ms - connection.idle_since_ms
+            if connection.is_open and rested_ms < connection.idle_max_ms:
+                connection.send(call)
+                return
+            connection.close()
+        opening = self._loop.create_task(self._open(call))
+        self._opening.add(opening)
+        opening.add_done_callback(self._opening.discard)
+
+    def keep(self, connection: CallConnection) -> None:
+        """Keep a connection for the next call."""
+        if self._is_closed:
+            connection.close()
+            return
+        connection.idle_since_ms = self._loop.time() * MS_PER_S
+        self._idle.append(connection)
+
+    def forget(self, connection: CallConnection) -> None:
+        """Forget a connection that is closed."""
+        self._all.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close(self) -> None:
+        """Close idle connections now, the others when their call has ended."""
+        self._is_closed = True
+        for connection in tuple(self._idle):
+            connection.close()
+
+    async def _open(self, call: HttpCall) -> None:
+        self.opened += 1
+        host, port = split_address(self.address)
+        opening = self._loop.create_connection(
+            lambda: CallConnection(self), host=host, port=port
+        )
+        try:
+            _, connection = await asyncio.wait_for(
+                opening, self.connect_timeout_ms / MS_PER_S
+            )
+        except (OSError, asyncio.TimeoutError) as error:
+            call.end(HttpFailure(FailedStep.CONNECT, self.address, repr(error), False))
+            return
+        if call.is_ended:
+            self._all.add(connection)
+            self.keep(connection)
+            return
+        self._all.add(connection)
+        connection.send(call)
+
+
+def _idle_ms(header: str, default_ms: float) -> float:
+    """Return how long a server that sent this ``Keep-Alive`` may be left idle."""
+    for piece in header.split(','):
+        name, _, seconds = piece.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdigit():
+            return max(0.0, int(seconds) * MS_PER_S - IDLE_GRACE_MS)
+    return default_ms
--- /dev/null
+++ b/cowsliploom/dataplane/_sockets.py
@@ -0,0 +1,41 @@
+"""Socket options that make silent connections end."""
+
+import socket
+
+SILENT_TIMEOUT_MS = 2500  # unacknowledged bytes for longer end a connection
+PROBE_IDLE_S = 2
+PROBE_GAP_S = 1
+PROBES_MAX = 2
+MS_PER_S = 1000
+
+
+def end_when_silent(raw: socket.socket, timeout_ms: int = SILENT_TIMEOUT_MS) -> None:
+    """Let the kernel end a connection whose other side has gone silent.
+
+    Parameters
+    ----------
+    raw : socket.socket
+        A TCP socket.
+    timeout_ms : int
+        Time without an acknowledgement, in milliseconds.
+    """
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_GAP_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    Raises
+    ------
+    ValueError
+        If there is no port.
+    """
+    host, colon, port = address.rpartition(':')
+    if not (colon and port.isdigit()):
+        raise ValueError(f'address: expected host:port, got {address!r}')
+    return host, int(port)
--- /dev/null
+++ b/cowsliploom/forwarding/__init__.py
@@ -0,0 +1,37 @@
+"""Forwarding of requests by routes to the backend servers of services; sans-IO."""
+
+from cowsliploom.forwarding._budget import ExtraBudget as ExtraBudget
+from cowsliploom.forwarding._desk import BudgetRules as BudgetRules
+from cowsliploom.forwarding._desk import ForwardingDesk as ForwardingDesk
+from cowsliploom.forwarding._exchange import Exchange as Exchange
+from cowsliploom.forwarding._fleet import Fleet as Fleet
+from cowsliploom.forwarding._fleet import ServerChange as ServerChange
+from cowsliploom.forwarding._fleet import calls_max as calls_max
+from cowsliploom.forwarding._messages import BackendAnswer as BackendAnswer
+from cowsliploom.forwarding._messages import CallAnswered as CallAnswered
+from cowsliploom.forwarding._messages import CallerLeft as CallerLeft
+from cowsliploom.forwarding._messages import CallerRequest as CallerRequest
+from cowsliploom.forwarding._messages import CallFailed as CallFailed
+from cowsliploom.forwarding._messages import CallStep as CallStep
+from cowsliploom.forwarding._messages import Command as Command
+from cowsliploom.forwarding._messages import DropCall as DropCall
+from cowsliploom.forwarding._messages import ExchangeEvent as ExchangeEvent
+from cowsliploom.forwarding._messages import Gathered as Gathered
+from cowsliploom.forwarding._messages import Headers as Headers
+from cowsliploom.forwarding._messages import Outcome as Outcome
+from cowsliploom.forwarding._messages import PassOn as PassOn
+from cowsliploom.forwarding._messages import Reply as Reply
+from cowsliploom.forwarding._messages import SendCall as SendCall
+from cowsliploom.forwarding._messages import Ticked as Ticked
+from cowsliploom.forwarding._messages import TurnAway as TurnAway
+from cowsliploom.forwarding._records import merge_records as merge_records
+from cowsliploom.forwarding._routes import CallerLimits as CallerLimits
+from cowsliploom.forwarding._routes import Gather as Gather
+from cowsliploom.forwarding._routes import Route as Route
+from cowsliploom.forwarding._routes import RouteTable as RouteTable
+from cowsliploom.forwarding._routes import ServiceRules as ServiceRules
+from cowsliploom.forwarding._routes import WeightedService as WeightedService
+from cowsliploom.forwarding._servers import LoadReport as LoadReport
+from cowsliploom.forwarding._servers import Server as Server
+from cowsliploom.forwarding._servers import ServerRecord as ServerRecord
+from cowsliploom.forwarding._servers import ServerState as ServerState
--- /dev/null
+++ b/cowsliploom/forwarding/_budget.py
@@ -0,0 +1,88 @@
+"""A budget of extra calls that all entry VMs share, one for each service."""
+
+from collections import deque
+
+
+class WindowCount:
+    """Count events of the last ``window_ms``, in slices.
+
+    Parameters
+    ----------
+    window_ms : float
+        Length of the window, in milliseconds.
+    slices : int
+        Parts in which the window moves on. Default 20.
+    """
+
+    def __init__(self, window_ms: float, slices: int = 20) -> None:
+        self.window_ms = window_ms
+        self.slices = slices
+        self._counts: deque[list[float]] = deque()
+        self._sum = 0.0
+
+    def add(self, now_ms: float, amount: float = 1) -> None:
+        """Count an event."""
+        slice_start = now_ms - now_ms % (self.window_ms / self.slices)
+        if self._counts and self._counts[-1][0] >= slice_start:
+            self._counts[-1][1] += amount
+        else:
+            self._counts.append([slice_start, amount])
+        self._sum += amount
+
+    def total(self, now_ms: float) -> float:
+        """Return the number of events in the window."""
+        oldest = now_ms - self.window_ms
+        while self._counts and self._counts[0][0] < oldest:
+            self._sum -= self._counts.popleft()[1]
+        return self._sum
+
+
+class ExtraBudget:
+    """Say whether one more call beyond a request's first may be sent.
+
+    Parameters
+    ----------
+    ratio : float
+        Extra calls for each request, in any window.
+    extra : float
+        Extra calls beyond these, of all entry VMs together.
+    window_ms : float
+        Length of the window.
+
+    Notes
+    -----
+    Each entry VM sees only its own requests and may use ``ratio`` of those and its
+    part of ``extra``, so the sum keeps the bound however uneven the traffic is.
+
+    Examples
+    --------
+    >>> budget = ExtraBudget(ratio=0.2, extra=8, window_ms=10_000)
+    >>> budget.may_spend(now_ms=0, sharers=8)
+    True
+    >>> budget.spend(0)
+    >>> budget.may_spend(now_ms=0, sharers=8)
+    False
+    """
+
+    def __init__(self, ratio: float, extra: float, window_ms: float) -> None:
+        self.ratio = ratio
+        self.extra = extra
+        self.requests = WindowCount(window_ms)
+        self.spent = WindowCount(window_ms * 1.1)  # a slice more, as slices are coarse
+
+    def earn(self, now_ms: float) -> None:
+        """Count a request."""
+        self.requests.add(now_ms)
+
+    def spend(self, now_ms: float) -> None:
+        """Count an extra call."""
+        self.spent.add(now_ms)
+
+    def left(self, now_ms: float, sharers: int) -> float:
+        """Return how many extra calls may still be sent now."""
+        allowed = self.ratio * self.requests.total(now_ms) + self.extra / sharers
+        return allowed - self.spent.total(now_ms)
+
+    def may_spend(self, now_ms: float, sharers: int) -> bool:
+        """Tell whether one more extra call may be sent."""
+        return self.left(now_ms, sharers) >= 1
--- /dev/null
+++ b/cowsliploom/forwarding/_fleet.py
@@ -0,0 +1,176 @@
+"""All backend servers that an entry VM knows, and the choice among them."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from cowsliploom.forwarding._servers import Server, ServerRecord
+
+CONNECTIONS_SHARE = 0.85  # the rest covers replaced and silent connections
+NOISE = 0.1  # keeps entry VMs from choosing alike
+COLD_GAP_MS = 500.0  # between two requests of a cold server's owner
+PROBATION_MS = 3000.0  # what was learnt of a latency fades in about this time
+
+
+@dataclass(frozen=True, slots=True)
+class ServerChange:
+    """Tell that a server is new, changed or gone."""
+
+    name: str
+    what: str
+    service: str = ''
+
+
+class Fleet:
+    """Own the backend servers.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the generator that breaks ties.
+    owns : callable
+        Tells whether this entry VM owns a server while it is cold.
+    """
+
+    def __init__(self, seed: int, owns: Callable[[str], bool]) -> None:
+        self.owns = owns
+        self.sharers = 1
+        self.closed_data_centres: frozenset[str] = frozenset()
+        self._random = random.Random(seed)
+        self._servers: dict[str, Server] = {}
+        self._by_service: dict[str, list[Server]] = {}
+        self._cold_sent_ms: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of servers."""
+        return len(self._servers)
+
+    def get(self, name: str) -> Server | None:
+        """Return a server by the name of its incarnation."""
+        return self._servers.get(name)
+
+    def serving(self, service: str) -> list[Server]:
+        """Return the servers of a service."""
+        return self._by_service.get(service, [])
+
+    def update(
+        self, records: Iterable[ServerRecord], now_ms: float
+    ) -> list[ServerChange]:
+        """Take the whole set of registrations and tell what changed."""
+        heard = {record.name: record for record in records}
+        changes = [
+            self._remove(name) for name in list(self._servers) if name not in heard
+        ]
+        for record in heard.values():
+            change = self._take(record, now_ms)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def choose(
+        self, service: str, tried: Iterable[str], now_ms: float, calls_max: int
+    ) -> Server | None:
+        """Return the server for one more call, or None when none can take it.
+
+        Parameters
+        ----------
+        service : str
+            Service that is asked.
+        tried : iterable of str
+            Servers that had their attempt.
+        now_ms : float
+            Time by the own steady clock.
+        calls_max : int
+            Calls that this entry VM may have open at one server.
+        """
+        usable = self._usable(service, tried)
+        warm = [server for server in usable if not server.is_cold(now_ms)]
+        open_to_calls = [
+            server for server in warm if len(server.open_calls) < calls_max
+        ]
+        rested = [server for server in open_to_calls if not server.is_resting(now_ms)]
+        chosen = self._quickest(rested or open_to_calls, now_ms)
+        if chosen is None and not warm:
+            return self._choose_cold(usable, now_ms)
+        return chosen
+
+    def has_usable(self, service: str, tried: Iterable[str]) -> bool:
+        """Tell whether a server may take a call, now or when it has room."""
+        return bool(self._usable(service, tried))
+
+    def _usable(self, service: str, tried: Iterable[str]) -> list[Server]:
+        closed = self.closed_data_centres
+        return [
+            server
+            for server in self._by_service.get(service, ())
+            if server.takes_requests
+            and server.name not in tried
+            and server.record.data_centre not in closed
+        ]
+
+    def _quickest(self, servers: list[Server], now_ms: float) -> Server | None:
+        if len(servers) < 2:
+            return servers[0] if servers else None
+        means = [server.mean_ms for server in servers if server.mean_ms]
+        usual_ms = min(means, default=0.0)
+        noise = self._random.uniform
+        return min(
+            servers,
+            key=lambda server: (
+                server.expected_ms(now_ms, usual_ms) * noise(1 - NOISE, 1 + NOISE)
+            ),
+        )
+
+    def _choose_cold(self, servers: list[Server], now_ms: float) -> Server | None:
+        """Return a cold server that this entry VM owns and hasn't just asked."""
+        for server in servers:
+            last_ms = self._cold_sent_ms.get(server.name, -COLD_GAP_MS)
+            if now_ms - last_ms >= COLD_GAP_MS and self.owns(server.name):
+                self._cold_sent_ms[server.name] = now_ms
+                return server
+        return None
+
+    def _take(self, record: ServerRecord, now_ms: float) -> ServerChange | None:
+        known = self._servers.get(record.name)
+        if known is not None and not _is_reborn(known.record, record):
+            if known.record == record:
+                return None
+            state = known.record.state
+            known.take_record(record, now_ms)
+            if state is record.state:
+                return None
+            return ServerChange(record.name, record.state, record.service)
+        if known is not None:
+            self._remove(record.name)
+        server = Server(record, now_ms)
+        self._servers[record.name] = server
+        self._by_service.setdefault(record.service, []).append(server)
+        return ServerChange(record.name, 'new', record.service)
+
+    def _remove(self, name: str) -> ServerChange:
+        server = self._servers.pop(name)
+        server.is_gone = True
+        self._cold_sent_ms.pop(name, None)
+        service = server.record.service
+        self._by_service[service].remove(server)
+        return ServerChange(name, 'gone', service)
+
+
+def _is_reborn(known: ServerRecord, heard: ServerRecord) -> bool:
+    """Tell whether a name now stands for another start, another place or service."""
+    moved = (known.address, known.service) != (heard.address, heard.service)
+    restarted = heard.born_ms > known.born_ms or (
+        heard.born_ms == known.born_ms and heard.sequence < known.sequence
+    )
+    return moved or restarted
+
+
+def calls_max(connections_max: int, sharers: int) -> int:
+    """Return how many connections one entry VM may hold at one server.
+
+    Examples
+    --------
+    >>> calls_max(26, sharers=8)
+    2
+    """
+    return max(1, int(connections_max * CONNECTIONS_SHARE / max(1, sharers)))
--- /dev/null
+++ b/cowsliploom/forwarding/_messages.py
@@ -0,0 +1,216 @@
+"""What a request's exchange takes and gives.
+
+All times are milliseconds of the entry VM's steady clock.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from cowsliploom.forwarding._routes import Route
+from cowsliploom.forwarding._servers import LoadReport, Server
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold a caller's whole request.
+
+    Parameters
+    ----------
+    request_id : str
+        The caller's id of this attempt.
+    method, host, target : str
+        Request line and host; ``target`` is path and query.
+    headers : tuple of (str, str)
+        Headers that are passed on.
+    body : bytes
+        Whole body.
+    arrived_ms : float
+        When the last byte was read.
+    patience_ms : float
+        How long the caller waits from then on.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived_ms: float
+    patience_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class BackendAnswer:
+    """Hold a backend server's whole answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        Headers that are passed on to the caller.
+    body : bytes
+        Whole body.
+    signature : str
+        The server's mark on what it answered; empty without one.
+    ran : bool
+        False only where the server says that it didn't run the request.
+    wrong_server : bool
+        Whether another incarnation has the address.
+    load : LoadReport or None
+        What it says of its load.
+    is_encoded : bool
+        Whether the body is in an encoding that nobody asked for.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+    signature: str = ''
+    ran: bool = True
+    wrong_server: bool = False
+    load: LoadReport | None = None
+    is_encoded: bool = False
+
+    @property
+    def is_good(self) -> bool:
+        """Tell whether this is a success that may be passed on."""
+        success = 200 <= self.status < 300
+        return success and bool(self.signature) and not self.is_encoded
+
+
+class CallStep(StrEnum):
+    """Name the step at which a call failed."""
+
+    CONNECT = 'connect'
+    SEND = 'send'
+    RECEIVE = 'receive'
+    DECODE = 'decode'
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswered:
+    """Take the answer to a call."""
+
+    now_ms: float
+    call_id: int
+    answer: BackendAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """Take a call that got no answer.
+
+    ``may_have_run`` is False only when no byte of the request was sent.
+    """
+
+    now_ms: float
+    call_id: int
+    step: CallStep
+    reason: str
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """Take the word that the caller has closed its connection."""
+
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Let time pass."""
+
+    now_ms: float
+
+
+ExchangeEvent = CallAnswered | CallFailed | CallerLeft | Ticked
+
+
+@dataclass(frozen=True, slots=True)
+class SendCall:
+    """Send the request to a server; its answer is due in ``patience_ms``."""
+
+    call_id: int
+    server: Server
+    patience_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class DropCall:
+    """Close the connection of a call whose answer nobody needs."""
+
+    call_id: int
+
+
+class Outcome(StrEnum):
+    """Name how a request ended."""
+
+    PASSED = 'passed'
+    GATHERED = 'gathered'
+    NO_ROUTE = 'no route'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+    TIMED_OUT = 'timed out'
+    LEFT = 'caller left'
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Answer with what the backend server said."""
+
+    answer: BackendAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """Answer with the greatest records of the parts.
+
+    Parameters
+    ----------
+    signatures : tuple of str
+        Marks of the parts that are in.
+    missing : int
+        Shards that are left out.
+    body : bytes
+        The records, greatest first.
+    """
+
+    signatures: tuple[str, ...]
+    missing: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TurnAway:
+    """Answer that the request has ended without a result.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        ``REFUSED`` promises that it has not run and never will.
+    reason : str
+        Why, for the log and the caller.
+    retry_after_ms : float
+        When to come back; 0 says nothing.
+    """
+
+    outcome: Outcome
+    reason: str
+    retry_after_ms: float = 0
+
+
+Reply = PassOn | Gathered | TurnAway
+Command = SendCall | DropCall | PassOn | Gathered | TurnAway
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Hold the route on which a request runs, and the version that named it."""
+
+    route: Route
+    version: int
--- /dev/null
+++ b/cowsliploom/forwarding/_servers.py
@@ -0,0 +1,201 @@
+"""What one entry VM knows of one backend server."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+LOAD_FRESH_MS = 250.0  # an older report of load says little
+LATENCY_SHARE = 0.1  # weight of the newest sample in the mean
+PAUSED_RATIO = 3.0  # a call open for longer than this many means hints at a pause
+PAUSED_MIN_MS = 15.0
+RESTED_MIN_MS = 400.0  # first rest after failures; doubles up to the most
+RESTED_MAX_MS = 3000.0
+ERROR_SHARE = 0.2  # weight of the newest outcome in the share of failures
+
+
+class ServerState(StrEnum):
+    """Name what a backend server says of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """Hold what a backend server last registered.
+
+    Parameters
+    ----------
+    name : str
+        Name of this incarnation.
+    service, address, data_centre, version : str
+        What it serves, where, and in which software version.
+    slots : int
+        Requests that it works on at once.
+    state : ServerState
+        Whether it takes new requests.
+    cold_ms : float
+        How much longer it stays cold, counted from the registration.
+    sequence : int
+        Count of its registrations.
+    born_ms : float
+        Wall time of its start; 0 where it doesn't say.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    version: str
+    slots: int
+    state: ServerState
+    cold_ms: float
+    sequence: int
+    born_ms: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Hold what a backend server said of its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Server:
+    """Track one incarnation of a backend server: its calls and how they went.
+
+    Parameters
+    ----------
+    record : ServerRecord
+        Latest registration.
+    now_ms : float
+        When it was heard.
+    """
+
+    def __init__(self, record: ServerRecord, now_ms: float) -> None:
+        self.record = record
+        self.cold_until_ms = now_ms + record.cold_ms
+        self.open_calls: dict[int, float] = {}
+        self.mean_ms = 0.0
+        self.load = LoadReport(0, 0, record.slots)
+        self.load_ms = -LOAD_FRESH_MS
+        self.rests_until_ms = 0.0
+        self.failures = 0
+        self.error_share = 0.0
+        self.shed_share = 0.0
+        self.is_leaving = False
+        self.is_gone = False
+
+    @property
+    def name(self) -> str:
+        """Return the incarnation's name."""
+        return self.record.name
+
+    @property
+    def takes_requests(self) -> bool:
+        """Tell whether new requests may be sent at all."""
+        ready = self.record.state is ServerState.READY
+        return ready and not self.is_leaving and not self.is_gone
+
+    def take_record(self, record: ServerRecord, now_ms: float) -> None:
+        """Take a newer registration of the same incarnation."""
+        if record.cold_ms > 0:
+            heard_ms = now_ms + record.cold_ms
+            was_cold = self.is_cold(now_ms)
+            self.cold_until_ms = (
+                min(self.cold_until_ms, heard_ms) if was_cold else heard_ms
+            )
+        self.record = record
+
+    def take_cold(self, remaining_ms: float, now_ms: float) -> None:
+        """Take the server's own word on how long it stays cold."""
+        self.cold_until_ms = now_ms + remaining_ms
+
+    def take_load(self, load: LoadReport, now_ms: float) -> None:
+        """Take a report of load."""
+        self.load = load
+        self.load_ms = now_ms
+
+    def is_cold(self, now_ms: float) -> bool:
+        """Tell whether the server is cold."""
+        return now_ms < self.cold_until_ms
+
+    def is_resting(self, now_ms: float) -> bool:
+        """Tell whether failures keep requests off the server for now."""
+        return now_ms < self.rests_until_ms
+
+    def sent(self, call_id: int, now_ms: float) -> None:
+        """Count a call."""
+        self.open_calls[call_id] = now_ms
+
+    def ended(self, call_id: int) -> float | None:
+        """Take a call off the count and return when it was sent."""
+        return self.open_calls.pop(call_id, None)
+
+    def succeeded(self, elapsed_ms: float) -> None:
+        """Learn from a good answer."""
+        self.failures = 0
+        self.rests_until_ms = 0.0
+        self.error_share *= 1 - ERROR_SHARE
+        self.shed_share *= 1 - ERROR_SHARE
+        if self.mean_ms:
+            self.mean_ms += (elapsed_ms - self.mean_ms) * LATENCY_SHARE
+        else:
+            self.mean_ms = elapsed_ms
+
+    def was_slow(self, waited_ms: float) -> None:
+        """Learn from a call that is still open after a long wait."""
+        if waited_ms > self.mean_ms:
+            self.mean_ms += (waited_ms - self.mean_ms) * LATENCY_SHARE
+
+    def shed(self) -> None:
+        """Learn from a refusal for want of room."""
+        self.shed_share += (1 - self.shed_share) * ERROR_SHARE
+
+    def failed(self, now_ms: float) -> None:
+        """Learn from a failure, and rest the longer the more there were."""
+        self.failures += 1
+        self.error_share += (1 - self.error_share) * ERROR_SHARE
+        if self.failures > 1:
+            self.rest(now_ms)
+
+    def unreachable(self, now_ms: float) -> None:
+        """Learn from a refused or silent connection; rest at once."""
+        self.failures += 1
+        self.error_share += (1 - self.error_share) * ERROR_SHARE
+        self.rest(now_ms)
+
+    def rest(self, now_ms: float) -> None:
+        """Keep requests off for a while."""
+        rest_ms = RESTED_MIN_MS * 2 ** min(self.failures - 1, 8)
+        self.rests_until_ms = now_ms + min(rest_ms, RESTED_MAX_MS)
+
+    def oldest_wait_ms(self, now_ms: float) -> float:
+        """Return how long the oldest open call has been waiting."""
+        if not self.open_calls:
+            return 0.0
+        return now_ms - next(iter(self.open_calls.values()))
+
+    def expected_ms(self, now_ms: float, service_mean_ms: float) -> float:
+        """Return the time that one more call is likely to take.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time by the own steady clock.
+        service_mean_ms : float
+            Mean of the service, for a server without samples.
+        """
+        mean_ms = self.mean_ms or service_mean_ms
+        slots = max(1, self.record.slots)
+        ahead = len(self.open_calls)
+        if now_ms - self.load_ms < LOAD_FRESH_MS:
+            ahead = max(ahead, self.load.running + self.load.waiting)
+        queue = max(0, ahead + 1 - slots) / slots
+        expected_ms = mean_ms * (1 + queue) + ahead * mean_ms / slots / 4
+        waited_ms = self.oldest_wait_ms(now_ms)
+        if waited_ms > max(PAUSED_MIN_MS, PAUSED_RATIO * mean_ms):
+            expected_ms += waited_ms
+        trouble = self.error_share + self.shed_share
+        return expected_ms * (1 + 4 * trouble)
--- /dev/null
+++ b/cowsliploom/forwarding/_weights.py
@@ -0,0 +1,39 @@
+"""Turns of weighted services, so that shares hold over few requests too."""
+
+import random
+
+from cowsliploom.forwarding._routes import Route
+
+
+class WeightedTurns:
+    """Give each service of a route its share, by smooth weighted turns.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Sets where a route's turns begin, so that entry VMs don't go in step.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
+        self._credit: dict[tuple[str, str], float] = {}
+
+    def next_service(self, route: Route) -> str:
+        """Return the service whose turn it is."""
+        services = route.services
+        if len(services) == 1:
+            return services[0].name
+        total = sum(service.weight for service in services)
+        best = services[0].name
+        best_credit = float('-inf')
+        for service in services:
+            key = (route.name, service.name)
+            credit = self._credit.get(key)
+            if credit is None:
+                credit = self._random.uniform(0, total)
+            credit += service.weight
+            self._credit[key] = credit
+            if service.weight > 0 and credit > best_credit:
+                best, best_credit = service.name, credit
+        self._credit[(route.name, best)] -= total
+        return best
--- /dev/null
+++ b/cowsliploom/gateway/__main__.py
@@ -0,0 +1,31 @@
+"""Start the entry daemon with the settings file that the environment names."""
+
+import os
+import sys
+from pathlib import Path
+
+import uvloop
+
+from cowsliploom.gateway import EntryDaemon
+from cowsliploom.platform import SETTINGS_VARIABLE, SettingsError
+
+EXIT_SETTINGS = 2
+
+
+async def _serve(path: Path) -> None:
+    await EntryDaemon(path).run()
+
+
+def main() -> int:
+    """Serve until told to stop; return the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    try:
+        uvloop.run(_serve(Path(path)))
+    except (SettingsError, OSError) as error:
+        sys.stderr.write(f'cowsliploom-gateway: {SETTINGS_VARIABLE}={path}: {error}\n')
+        return EXIT_SETTINGS
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/cowsliploom/gateway/_daemon.py
@@ -0,0 +1,178 @@
+"""One entry daemon on the users' platform, from its start to its stop."""
+
+import asyncio
+import os
+import signal
+import time
+from pathlib import Path
+
+from cowsliploom.coordination import Acquaintances, Member
+from cowsliploom.dataplane import HttpListener, HttpRequest, ServerLimits
+from cowsliploom.forwarding import ForwardingDesk
+from cowsliploom.gateway._figures import Figures
+from cowsliploom.gateway._forwarder import Forwarder
+from cowsliploom.gateway._knowledge import Knowledge
+from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._peers import Peers
+from cowsliploom.gateway._request_log import RequestLog
+from cowsliploom.gateway._store_watch import StoreWatch
+from cowsliploom.platform import (
+    MachineSettings,
+    PlatformStore,
+    SettingsError,
+    read_settings,
+)
+
+MS_PER_S = 1000
+SWEEP_MS = 250.0
+CLOSE_IDLE_AFTER_MS = 2600.0  # the balancer has noticed by then
+STOP_SHARE = 0.8  # of the grace; the rest is for the end itself
+DRAIN_STEP_MS = 50.0
+METRICS_PORT = 9464
+METRICS_PATH = '/metrics'
+
+
+class EntryDaemon:
+    """Own the tasks and listeners of one entry VM.
+
+    Parameters
+    ----------
+    settings_path : Path
+        Settings file; it may change while the daemon runs.
+    """
+
+    def __init__(self, settings_path: Path) -> None:
+        self.settings_path = settings_path
+        self.settings = read_settings(settings_path)
+        self.log = LineLog()
+        self.figures = Figures()
+        self._is_draining = False
+        self._stop = asyncio.Event()
+        self._seed = int.from_bytes(os.urandom(4))
+        self._tasks: list[asyncio.Task[None]] = []
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        self._desk = ForwardingDesk(self.settings.budget, self._seed, self._owns)
+        self._knowledge = Knowledge(self._desk, self.log)
+        self._forwarder = Forwarder(self._desk, RequestLog(self.log, self.figures))
+        self._store = PlatformStore(self.settings.store_address)
+        self._watch = StoreWatch(
+            self._store, self._knowledge, self.log, self._now_ms, self._seed
+        )
+        own = Member(
+            self.settings.name,
+            self.settings.peers_address,
+            self.settings.data_centre,
+            int(time.time()),
+        )
+        known = Acquaintances(own, self.settings.seeds, self._seed)
+        self._peers = Peers(known, self._knowledge, self.log, self._now_ms)
+        self._callers = HttpListener(
+            self.settings.callers_address,
+            self._forwarder.take,
+            self._limits,
+            self._rejected,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then drain."""
+        self.log.start()
+        listeners = await self._start()
+        await self._stop.wait()
+        await self._drain()
+        for task in self._tasks:
+            task.cancel()
+        for listener in listeners:
+            await listener.close()
+        self.log.write('daemon', 'stopped', open_requests=self._forwarder.open)
+        self.log.close()
+
+    async def _start(self) -> list[HttpListener]:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        host = self.settings.callers_address.rpartition(':')[0]
+        listeners = [
+            self._callers,
+            HttpListener(self.settings.readiness_address, self._tell_ready),
+            self._peers.listener,
+            HttpListener(f'{host}:{METRICS_PORT}', self._tell_figures),
+        ]
+        for listener in listeners:
+            await listener.start()
+        for work in (self._watch.run(), self._peers.run(), self._sweep()):
+            self._tasks.append(self._loop.create_task(work))
+        self.log.write(
+            'daemon',
+            'started',
+            name=self.settings.name,
+            data_centre=self.settings.data_centre,
+            callers_address=self.settings.callers_address,
+        )
+        return listeners
+
+    async def _drain(self) -> None:
+        """Leave while callers are still served, then wait for the last answer."""
+        started_ms = self._now_ms()
+        stop_ms = started_ms + self.settings.grace_ms * STOP_SHARE
+        self._is_draining = True
+        self.log.write('daemon', 'draining', open_requests=self._forwarder.open)
+        self._callers.drain()
+        self._loop.create_task(self._peers.leave())
+        while self._now_ms() < stop_ms:
+            if self._now_ms() - started_ms > CLOSE_IDLE_AFTER_MS:
+                self._callers.close_idle()
+                if not (self._callers.connections or self._forwarder.open):
+                    break
+            await asyncio.sleep(DRAIN_STEP_MS / MS_PER_S)
+
+    async def _sweep(self) -> None:
+        while True:
+            before_ms = self._now_ms()
+            await asyncio.sleep(SWEEP_MS / MS_PER_S)
+            now_ms = self._now_ms()
+            self._desk.loop_lag_ms = max(0.0, now_ms - before_ms - SWEEP_MS)
+            self._knowledge.release_held(now_ms)
+            self._forwarder.sweep()
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * MS_PER_S
+
+    def _owns(self, server: str) -> bool:
+        return self._peers.owns(server)
+
+    def _limits(self) -> ServerLimits:
+        limits = self._desk.table.limits
+        return ServerLimits(
+            limits.header_bytes_max,
+            limits.body_bytes_max,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    def _rejected(self, status: int) -> None:
+        self.figures.count('unreadable_requests')
+        self.log.write('request', 'unreadable', status=status)
+
+    def _reload(self) -> None:
+        try:
+            settings: MachineSettings = read_settings(self.settings_path)
+        except (SettingsError, OSError) as error:
+            self.log.write('daemon', 'settings kept', reason=str(error))
+            return
+        self._peers.known.seeds = settings.seeds
+        self._desk.budget_rules = settings.budget
+        self.settings = settings
+        self.log.write('daemon', 'reloaded', seeds=list(settings.seeds))
+
+    def _tell_ready(self, request: HttpRequest) -> None:
+        ready = self._knowledge.is_ready and not self._is_draining
+        request.answer(200 if ready else 503, [], b'')
+
+    def _tell_figures(self, request: HttpRequest) -> None:
+        for kind, calls in self._store.calls.items():
+            self.figures.set_gauge(f'store_calls_{kind}', calls)
+        self.figures.set_gauge('open_requests', self._forwarder.open)
+        self.figures.set_gauge('log_lines_lost', self.log.lost)
+        headers = [('Content-Type', 'text/plain; version=0.0.4')]
+        request.answer(200, headers, self.figures.text().encode())
--- /dev/null
+++ b/cowsliploom/gateway/_knowledge.py
@@ -0,0 +1,151 @@
+"""What this entry VM knows of the configuration and of the backend servers."""
+
+from dataclasses import dataclass
+
+from cowsliploom import platform
+from cowsliploom.coordination import Batch, StoreMirror
+from cowsliploom.forwarding import ForwardingDesk, ServerRecord
+from cowsliploom.gateway._line_log import LineLog
+
+LAPSE_HOLD_MS = 2300.0  # live servers are back this long after the store's return
+LAPSE_SHARE = 0.25  # of all servers; more that go at once have rather lapsed
+LAPSE_MIN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Say where knowledge came from and how old it was.
+
+    Parameters
+    ----------
+    source : str
+        ``'store'`` or the name of a peer.
+    age_ms : float
+        Time since the store confirmed it.
+    """
+
+    source: str
+    age_ms: float = 0
+
+
+class Knowledge:
+    """Apply what the store and the peers tell to the desk.
+
+    Parameters
+    ----------
+    desk : ForwardingDesk
+        Where routes and servers are taken into use.
+    log : LineLog
+        Log of changed beliefs.
+    """
+
+    def __init__(self, desk: ForwardingDesk, log: LineLog) -> None:
+        self.desk = desk
+        self.log = log
+        self.mirror = StoreMirror()
+        self.confirmed_ms: float | None = None
+        self._records: dict[str, ServerRecord] = {}
+        self._held: dict[str, float] = {}
+        self._store_back_ms = float('-inf')
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether there is a configuration."""
+        return bool(self.desk.table.version)
+
+    def confirmed_age_ms(self, now_ms: float) -> float:
+        """Return how long ago the store confirmed what is known here."""
+        return now_ms - self.confirmed_ms if self.confirmed_ms is not None else 1e9
+
+    def store_returned(self, now_ms: float) -> None:
+        """Note that the store answers again after it didn't."""
+        self._store_back_ms = now_ms
+
+    def take(self, batch: Batch, heard: Heard, now_ms: float) -> None:
+        """Take what the store or a peer told."""
+        changed = self.mirror.take(batch)
+        confirmed_ms = now_ms - heard.age_ms
+        if batch.revision >= self.mirror.revision:
+            known_ms = self.confirmed_ms
+            self.confirmed_ms = max(confirmed_ms, known_ms or confirmed_ms)
+        if not changed:
+            return
+        if platform.CONFIGURATION_KEY in changed:
+            self._take_configuration(heard)
+        self._take_zones()
+        servers = [key for key in changed if key.startswith(platform.SERVER_PREFIX)]
+        if servers:
+            self._take_servers(servers, heard, now_ms)
+
+    def release_held(self, now_ms: float) -> None:
+        """Give up servers whose registration has not come back in time."""
+        due = [key for key, until_ms in self._held.items() if now_ms >= until_ms]
+        for key in due:
+            del self._held[key]
+            self._records.pop(key, None)
+        if due:
+            self._update_fleet(Heard('held registrations'), now_ms)
+
+    def _take_configuration(self, heard: Heard) -> None:
+        item = self.mirror.get(platform.CONFIGURATION_KEY)
+        if item is None:
+            return
+        try:
+            table = platform.decode_configuration(item.content)
+        except platform.DocumentError as error:
+            self.log.write('configuration', 'unreadable', reason=error.reason)
+            return
+        if self.desk.take_table(table):
+            self.log.write(
+                'configuration',
+                'taken',
+                version=table.version,
+                revision=item.revision,
+                routes=len(table.routes),
+                source=heard.source,
+                age_ms=heard.age_ms,
+            )
+
+    def _take_zones(self) -> None:
+        keys = (item.key for item in self.mirror.under('op/'))
+        closed = platform.evacuated_zones(keys)
+        if closed != self.desk.fleet.closed_data_centres:
+            self.desk.fleet.closed_data_centres = closed
+            self.log.write('evacuation', 'changed', data_centres=sorted(closed))
+
+    def _take_servers(self, keys: list[str], heard: Heard, now_ms: float) -> None:
+        removed = [key for key in keys if self.mirror.get(key) is None]
+        hold_until_ms = self._hold_until_ms(len(removed), now_ms)
+        for key in keys:
+            item = self.mirror.get(key)
+            if item is None:
+                if key in self._records and hold_until_ms > now_ms:
+                    self._held[key] = hold_until_ms
+                else:
+                    self._records.pop(key, None)
+                continue
+            self._held.pop(key, None)
+            try:
+                self._records[key] = platform.decode_server(key, item.content)
+            except platform.DocumentError as error:
+                self._records.pop(key, None)
+                self.log.write('server', 'unreadable', server=key, reason=error.reason)
+        self._update_fleet(heard, now_ms)
+
+    def _hold_until_ms(self, removed: int, now_ms: float) -> float:
+        """Return until when removed servers stay, as their entries may return."""
+        lapsed = removed >= max(LAPSE_MIN, len(self._records) * LAPSE_SHARE)
+        after_outage_ms = self._store_back_ms + LAPSE_HOLD_MS
+        return max(after_outage_ms, now_ms + LAPSE_HOLD_MS if lapsed else 0.0)
+
+    def _update_fleet(self, heard: Heard, now_ms: float) -> None:
+        for change in self.desk.fleet.update(self._records.values(), now_ms):
+            self.log.write(
+                'server',
+                change.what,
+                server=change.name,
+                service=change.service,
+                revision=self.mirror.revision,
+                source=heard.source,
+                age_ms=heard.age_ms,
+            )
--- /dev/null
+++ b/cowsliploom/gateway/_peers.py
@@ -0,0 +1,168 @@
+"""The task that exchanges knowledge with other entry VMs."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from cowsliploom.coordination import Acquaintances, Batch, rank_names
+from cowsliploom.dataplane import (
+    CallResult,
+    ConnectionPool,
+    HttpAnswer,
+    HttpCall,
+    HttpListener,
+    HttpRequest,
+)
+from cowsliploom.gateway._knowledge import Heard, Knowledge
+from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._peer_wire import (
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+
+MS_PER_S = 1000
+EXCHANGE_MS = 500.0
+EAGER_MS = 120.0  # while nobody is known, or the store is silent
+TIMEOUT_MS = 400.0
+STALE_MS = 6000.0  # the store's word is older than a watch takes: ask peers eagerly
+UNKNOWN_SHARERS = 12  # while nobody was heard: careful, as there may be many
+PATH = '/peers'
+
+
+class Peers:
+    """Own the listener for peers and the exchanges with them.
+
+    Parameters
+    ----------
+    known : Acquaintances
+        Who is alive.
+    knowledge : Knowledge
+        What is told and taken.
+    log : LineLog
+        Log of members that come and go.
+    now_ms : callable
+        Steady clock.
+    """
+
+    def __init__(
+        self,
+        known: Acquaintances,
+        knowledge: Knowledge,
+        log: LineLog,
+        now_ms: Callable[[], float],
+    ) -> None:
+        self.known = known
+        self.knowledge = knowledge
+        self.log = log
+        self.now_ms = now_ms
+        self.listener = HttpListener(known.own.address, self._take)
+        self._random = random.Random(known.own.name)
+        self._pools: dict[str, ConnectionPool] = {}
+        self._live: frozenset[str] = frozenset()
+        self._is_leaving = False
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        while True:
+            address = self.known.partner(self.now_ms())
+            if address is not None:
+                await self._exchange(address)
+            self._note_members()
+            pause_ms = EAGER_MS if self._is_eager() else EXCHANGE_MS
+            pause_ms *= self._random.uniform(0.7, 1.3)
+            await asyncio.sleep(pause_ms / MS_PER_S)
+
+    async def leave(self) -> None:
+        """Tell the live members that this daemon leaves."""
+        self._is_leaving = True
+        others = self.known.live(self.now_ms())[1:]
+        await asyncio.gather(*(self._exchange(member.address) for member in others))
+
+    def owns(self, server: str) -> bool:
+        """Tell whether this daemon is the one that may ask a cold server."""
+        names = self.known.live_names(self.now_ms())
+        return rank_names(server, names, 1) == (self.known.own.name,)
+
+    def _is_eager(self) -> bool:
+        stale = self.knowledge.confirmed_age_ms(self.now_ms()) > STALE_MS
+        return stale or not self.known.has_heard
+
+    def _note_members(self) -> None:
+        live = frozenset(self.known.live_names(self.now_ms()))
+        sharers = len(live) if self.known.has_heard else UNKNOWN_SHARERS
+        self.knowledge.desk.fleet.sharers = sharers
+        if live != self._live:
+            self.log.write(
+                'members',
+                'changed',
+                live=len(live),
+                joined=sorted(live - self._live),
+                gone=sorted(self._live - live),
+            )
+            self._live = live
+
+    async def _exchange(self, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        done: asyncio.Future[CallResult] = loop.create_future()
+        body = encode_message(self._message(None))
+        head = (
+            f'POST {PATH} HTTP/1.1\r\nHost: {address}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        call = HttpCall(
+            head.encode() + body,
+            lambda result: None if done.done() else done.set_result(result),
+        )
+        self._pool(address).send(call)
+        try:
+            reply = await asyncio.wait_for(done, TIMEOUT_MS / MS_PER_S)
+        except asyncio.TimeoutError:
+            call.drop()
+            return
+        if isinstance(reply, HttpAnswer):
+            self._hear(decode_message(reply.body))
+
+    def _pool(self, address: str) -> ConnectionPool:
+        known = self._pools.get(address)
+        if known is None:
+            known = ConnectionPool(address)
+            self._pools[address] = known
+        return known
+
+    def _take(self, request: HttpRequest) -> None:
+        message = decode_message(request.body)
+        if message is None:
+            request.answer(400, [], b'')
+            return
+        self._hear(message)
+        batch = None
+        mirror = self.knowledge.mirror
+        if message.revision < mirror.revision:
+            batch = mirror.since(message.revision)
+        answer = encode_message(self._message(batch))
+        request.answer(200, [('Content-Type', 'application/json')], answer)
+
+    def _message(self, batch: Batch | None) -> PeerMessage:
+        now_ms = self.now_ms()
+        return PeerMessage(
+            self.known.own.name,
+            self.knowledge.mirror.revision,
+            self.knowledge.confirmed_age_ms(now_ms),
+            () if self._is_leaving else self.known.sightings(now_ms),
+            batch,
+            self._is_leaving,
+        )
+
+    def _hear(self, message: PeerMessage | None) -> None:
+        if message is None:
+            return
+        now_ms = self.now_ms()
+        self.known.hear(message.sightings, now_ms)
+        if message.is_leaving:
+            self.known.left(message.name)
+        heard = Heard(message.name, message.age_ms)
+        if message.batch is not None:
+            self.knowledge.take(message.batch, heard, now_ms)
+        elif message.revision >= self.knowledge.mirror.revision:
+            self.knowledge.take(Batch(message.revision), heard, now_ms)
--- /dev/null
+++ b/cowsliploom/gateway/_request_log.py
@@ -0,0 +1,91 @@
+"""One line and one sample for each request that has ended."""
+
+from cowsliploom.forwarding import (
+    CallerRequest,
+    Exchange,
+    Gathered,
+    Outcome,
+    PassOn,
+    Reply,
+    TurnAway,
+)
+from cowsliploom.gateway._figures import Figures
+from cowsliploom.gateway._line_log import LineLog
+
+
+class RequestLog:
+    """Tell how requests ended.
+
+    Parameters
+    ----------
+    log : LineLog
+        Log of lines.
+    figures : Figures
+        Counters and histograms.
+    """
+
+    def __init__(self, log: LineLog, figures: Figures) -> None:
+        self.log = log
+        self.figures = figures
+
+    def ended(
+        self,
+        request: CallerRequest,
+        exchange: Exchange | None,
+        reply: Reply | None,
+        status: int,
+        elapsed_ms: float,
+    ) -> None:
+        """Note the end of a request; ``reply`` is None when its caller left."""
+        outcome = outcome_of(reply)
+        if exchange is None:
+            self.figures.request('', outcome, elapsed_ms)
+            reason = reply.reason if isinstance(reply, TurnAway) else ''
+            self.log.write(
+                'request',
+                outcome,
+                request_id=request.request_id,
+                status=status,
+                reason=reason,
+                host=request.host,
+                path=request.target,
+            )
+            return
+        self.figures.request(exchange.route.name, outcome, elapsed_ms)
+        self.figures.count('hedges', exchange.hedges)
+        self.figures.count('retries', exchange.retries)
+        self.log.write(
+            'request',
+            outcome,
+            request_id=request.request_id,
+            status=status,
+            route=exchange.route.name,
+            elapsed_ms=round(elapsed_ms, 1),
+            patience_ms=request.patience_ms,
+            hedges=exchange.hedges,
+            retries=exchange.retries,
+            missing=_missing(exchange),
+            reason=reply.reason if isinstance(reply, TurnAway) else '',
+        )
+
+
+def outcome_of(reply: Reply | None) -> Outcome:
+    """Return how a request ended."""
+    match reply:
+        case PassOn():
+            return Outcome.PASSED
+        case Gathered():
+            return Outcome.GATHERED
+        case TurnAway(outcome):
+            return outcome
+    return Outcome.LEFT
+
+
+def _missing(exchange: Exchange) -> list[str]:
+    """Return which services are missing, whom they were sent to, and why."""
+    return [
+        f'{work.service} tried={"+".join(sorted(work.tried)) or "nobody"}'
+        f' {work.ended_by or "open"}'
+        for work in exchange.works
+        if work.part is None
+    ]
--- /dev/null
+++ b/cowsliploom/gateway/_store_watch.py
@@ -0,0 +1,98 @@
+"""The task that watches the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from cowsliploom.gateway._knowledge import Heard, Knowledge
+from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.platform import HistoryGone, PlatformStore, StoreUnanswered
+
+MS_PER_S = 1000
+WATCH_WAIT_MS = 4000
+WATCH_SLACK_MS = 700.0  # the store answers a wait this late at most
+LIST_TIMEOUT_MS = 1500.0
+BACKOFF_MIN_MS = 100.0
+BACKOFF_MAX_MS = 800.0  # a version is to be in force within seconds of the return
+PAUSE_MS = 150.0  # between two watches, so that events come in one answer
+
+
+class StoreWatch:
+    """Keep the mirror in step with the store.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        Client of the store.
+    knowledge : Knowledge
+        Where what is heard goes.
+    log : LineLog
+        Log of the lost and regained store.
+    now_ms : callable
+        Steady clock.
+    seed : int
+        Seed that spreads retries.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        knowledge: Knowledge,
+        log: LineLog,
+        now_ms: Callable[[], float],
+        seed: int,
+    ) -> None:
+        self.store = store
+        self.knowledge = knowledge
+        self.log = log
+        self.now_ms = now_ms
+        self.answers_since_ms: float | None = None
+        self._random = random.Random(seed)
+        self._failures = 0
+        self._lists_next = True
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            pause_ms = await self._once()
+            await asyncio.sleep(pause_ms / MS_PER_S)
+
+    async def _once(self) -> float:
+        if self._lists_next:
+            reply = await self.store.list_under('', LIST_TIMEOUT_MS)
+        else:
+            reply = await self.store.watch(
+                '',
+                self.knowledge.mirror.revision,
+                WATCH_WAIT_MS,
+                WATCH_WAIT_MS + WATCH_SLACK_MS,
+            )
+        match reply:
+            case StoreUnanswered():
+                return self._unanswered(reply)
+            case HistoryGone():
+                self.log.write('store', 'history gone', after=reply.after)
+                self._lists_next = True
+                return 0
+        self._answered()
+        self._lists_next = False
+        self.knowledge.take(reply, Heard('store'), self.now_ms())
+        return PAUSE_MS
+
+    def _answered(self) -> None:
+        now_ms = self.now_ms()
+        if self.answers_since_ms is None:
+            self.answers_since_ms = now_ms
+            if self._failures:
+                self.knowledge.store_returned(now_ms)
+            self.log.write('store', 'answers', failures=self._failures)
+        self._failures = 0
+
+    def _unanswered(self, reply: StoreUnanswered) -> float:
+        if self.answers_since_ms is not None or not self._failures:
+            self.log.write('store', 'lost', step=reply.step, reason=reply.reason)
+        self.answers_since_ms = None
+        self._lists_next = True
+        bound_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2**self._failures)
+        self._failures = min(self._failures + 1, 16)
+        return self._random.uniform(bound_ms / 2, bound_ms)
--- /dev/null
+++ b/cowsliploom/platform/__init__.py
@@ -0,0 +1,23 @@
+"""The users' platform: its names, formats and calls; nothing here decides."""
+
+from cowsliploom.platform._documents import CONFIGURATION_KEY as CONFIGURATION_KEY
+from cowsliploom.platform._documents import SERVER_PREFIX as SERVER_PREFIX
+from cowsliploom.platform._documents import DocumentError as DocumentError
+from cowsliploom.platform._documents import decode_configuration as decode_configuration
+from cowsliploom.platform._documents import decode_server as decode_server
+from cowsliploom.platform._documents import evacuated_zones as evacuated_zones
+from cowsliploom.platform._headers import WireReply as WireReply
+from cowsliploom.platform._headers import is_answer_to as is_answer_to
+from cowsliploom.platform._headers import read_answer as read_answer
+from cowsliploom.platform._headers import read_request as read_request
+from cowsliploom.platform._headers import render_call as render_call
+from cowsliploom.platform._headers import render_gathered as render_gathered
+from cowsliploom.platform._headers import render_passed as render_passed
+from cowsliploom.platform._headers import render_turned_away as render_turned_away
+from cowsliploom.platform._settings import SETTINGS_VARIABLE as SETTINGS_VARIABLE
+from cowsliploom.platform._settings import MachineSettings as MachineSettings
+from cowsliploom.platform._settings import SettingsError as SettingsError
+from cowsliploom.platform._settings import read_settings as read_settings
+from cowsliploom.platform._store import HistoryGone as HistoryGone
+from cowsliploom.platform._store import PlatformStore as PlatformStore
+from cowsliploom.platform._store import StoreUnanswered as StoreUnanswered
--- /dev/null
+++ b/cowsliploom/platform/_documents.py
@@ -0,0 +1,200 @@
+"""What operators and backend servers write to the platform's store."""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from cowsliploom.forwarding import (
+    CallerLimits,
+    Gather,
+    Route,
+    RouteTable,
+    ServerRecord,
+    ServerState,
+    ServiceRules,
+    WeightedService,
+)
+
+CONFIGURATION_KEY = 'op/config'
+EVACUATION_PREFIX = 'op/evacuate/'
+SERVER_PREFIX = 'servers/'
+MS_PER_S = 1000
+SAFE = 'safe'
+ATTEMPTS_DEFAULT = 1
+TIMEOUT_DEFAULT_MS = 30_000.0
+
+
+class DocumentError(ValueError):
+    """Report a document that can't be read.
+
+    Parameters
+    ----------
+    key : str
+        Key in the store.
+    reason : str
+        What is wrong with it.
+    """
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(f'{key}: {reason}')
+        self.key = key
+        self.reason = reason
+
+
+class _WireWeight(msgspec.Struct):
+    service: str = ''
+    name: str = ''  # either spelling of the service
+    weight: float = 0
+
+
+class _WireRoute(msgspec.Struct, rename='camel'):
+    host: str
+    prefix: str
+    name: str = ''
+    kind: str = ''
+    timeout_ms: float = TIMEOUT_DEFAULT_MS
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = ATTEMPTS_DEFAULT
+    service: str = ''
+    weighted_services: list[_WireWeight] = msgspec.field(default_factory=list)
+    fanout_services: list[str] = msgspec.field(default_factory=list)
+    top_k: int = 0
+    min_shard_share: float = 0
+
+
+class _WireService(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/'
+    max_connections: int = 1
+    warmup_s: float = msgspec.field(default=0, name='warmupS')
+    cold_per_s: float = msgspec.field(default=0, name='coldPerS')
+
+
+class _WireLimits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = CallerLimits().header_bytes_max
+    max_body_bytes: int = CallerLimits().body_bytes_max
+    header_timeout_ms: float = CallerLimits().header_timeout_ms
+    idle_timeout_ms: float = CallerLimits().idle_timeout_ms
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute]
+    services: list[_WireService] = msgspec.field(default_factory=list)
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+class _WireServer(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: str
+    cold_remaining_ms: float
+    sequence: int
+    born: int = 0
+
+
+def decode_configuration(text: bytes) -> RouteTable:
+    """Decode the operator's configuration, whole.
+
+    Raises
+    ------
+    DocumentError
+        If it can't be read; then nothing of it is used.
+    """
+    try:
+        wire = msgspec.json.decode(text, type=_WireConfiguration)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise DocumentError(CONFIGURATION_KEY, str(error)) from error
+    limits = CallerLimits(
+        wire.limits.max_header_bytes,
+        wire.limits.max_body_bytes,
+        wire.limits.header_timeout_ms,
+        wire.limits.idle_timeout_ms,
+    )
+    return RouteTable(
+        wire.version,
+        tuple(_route(route) for route in wire.routes),
+        {service.name: _service(service) for service in wire.services},
+        limits,
+    )
+
+
+def decode_server(key: str, text: bytes) -> ServerRecord:
+    """Decode a backend server's registration.
+
+    Raises
+    ------
+    DocumentError
+        If a field is missing, of another type or out of range.
+    """
+    try:
+        wire = msgspec.json.decode(text, type=_WireServer)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise DocumentError(key, str(error)) from error
+    host, _, port = wire.address.rpartition(':')
+    if not (host and port.isdecimal() and wire.service):
+        raise DocumentError(key, f'no service or address: {wire.address!r}')
+    if wire.state not in set(ServerState):
+        raise DocumentError(key, f'unknown state {wire.state!r}')
+    if wire.slots < 1 or not math.isfinite(wire.cold_remaining_ms):
+        raise DocumentError(key, 'slots or cold time out of range')
+    return ServerRecord(
+        name=key.removeprefix(SERVER_PREFIX),
+        service=wire.service,
+        address=wire.address,
+        data_centre=wire.zone,
+        version=wire.version,
+        slots=wire.slots,
+        state=ServerState(wire.state),
+        cold_ms=max(0.0, wire.cold_remaining_ms),
+        sequence=wire.sequence,
+        born_ms=wire.born,
+    )
+
+
+def evacuated_zones(keys: Iterable[str]) -> frozenset[str]:
+    """Return the data centres that are to get nothing more."""
+    return frozenset(
+        key.removeprefix(EVACUATION_PREFIX)
+        for key in keys
+        if key.startswith(EVACUATION_PREFIX)
+    )
+
+
+def _route(wire: _WireRoute) -> Route:
+    gather = None
+    if wire.fanout_services:
+        gather = Gather(tuple(wire.fanout_services), wire.top_k, wire.min_shard_share)
+    weighted = tuple(
+        WeightedService(part.service or part.name, part.weight)
+        for part in wire.weighted_services
+    )
+    if wire.service and not weighted:
+        weighted = (WeightedService(wire.service, 1),)
+    return Route(
+        name=wire.name or f'{wire.host}{wire.prefix}',
+        host=wire.host,
+        prefix=wire.prefix,
+        repeatable=wire.kind == SAFE or gather is not None,
+        attempts_max=max(1, wire.max_attempts),
+        timeout_ms=wire.timeout_ms,
+        target_ms=wire.target_latency_ms or wire.timeout_ms,
+        rank=wire.priority,
+        services=() if gather else weighted,
+        gather=gather,
+    )
+
+
+def _service(wire: _WireService) -> ServiceRules:
+    return ServiceRules(
+        wire.name,
+        wire.health_path,
+        wire.max_connections,
+        wire.warmup_s * MS_PER_S,
+        wire.cold_per_s,
+    )
--- /dev/null
+++ b/cowsliploom/platform/_headers.py
@@ -0,0 +1,201 @@
+"""Headers on the platform's wire, for callers and for backend servers."""
+
+from dataclasses import dataclass
+
+from cowsliploom.dataplane import HeaderList, HttpAnswer
+from cowsliploom.forwarding import (
+    BackendAnswer,
+    CallerRequest,
+    Gathered,
+    LoadReport,
+    Outcome,
+    TurnAway,
+)
+
+REQUEST_ID = 'request-id'
+PATIENCE = 'deadline'  # a time span in ms, not a moment
+TARGET = 'target-instance'
+SIGNATURE = 'response-signature'
+LOAD = 'server-load'  # running, waiting, slots
+NOT_RUN = 'not-executed'
+MS_PER_S = 1000
+WRONG_SERVER = 421
+ENCODED = 'content-encoding'
+PATIENCE_MAX_MS = 600_000.0
+
+# Headers that concern one connection, or that are set anew.
+OF_CONNECTION = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    )
+)
+SET_ANEW = OF_CONNECTION | {PATIENCE, TARGET, 'host'}
+
+
+@dataclass(frozen=True, slots=True)
+class WireReply:
+    """Hold an answer to a caller as it is written."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+def read_request(
+    method: str, target: str, headers: HeaderList, body: bytes, arrived_ms: float
+) -> CallerRequest:
+    """Decode a caller's request.
+
+    Parameters
+    ----------
+    method, target : str
+        Request line.
+    headers : list of (str, str)
+        All headers as they came.
+    body : bytes
+        Whole body.
+    arrived_ms : float
+        When the last byte was read.
+    """
+    request_id = ''
+    host = ''
+    patience_ms = PATIENCE_MAX_MS
+    own = _named_by_connection(headers)
+    passed = []
+    for name, header in headers:
+        key = name.lower()
+        if key == REQUEST_ID:
+            request_id = header
+        elif key == 'host':
+            host = header
+        elif key == PATIENCE:
+            patience_ms = _patience(header)
+        if key not in SET_ANEW and key not in own:
+            passed.append((name, header))
+    return CallerRequest(
+        request_id,
+        method,
+        host,
+        target,
+        tuple(passed),
+        body,
+        arrived_ms,
+        patience_ms,
+    )
+
+
+def render_call(request: CallerRequest, server_name: str, patience_ms: float) -> bytes:
+    """Return a request as it is sent to a backend server."""
+    lines = [f'{request.method} {request.target} HTTP/1.1', f'Host: {request.host}']
+    lines.extend(f'{name}: {header}' for name, header in request.headers)
+    lines.append(f'Deadline: {max(1, int(patience_ms))}')
+    lines.append(f'Target-Instance: {server_name}')
+    if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
+        lines.append(f'Content-Length: {len(request.body)}')
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1') + request.body
+
+
+def is_answer_to(request_id: str, answer: HttpAnswer) -> bool:
+    """Tell whether an answer belongs to a request; one without an id does."""
+    for name, header in answer.headers:
+        if name.lower() == REQUEST_ID:
+            return header == request_id
+    return True
+
+
+def read_answer(answer: HttpAnswer) -> BackendAnswer:
+    """Decode a backend server's answer."""
+    signature = ''
+    ran = answer.status != WRONG_SERVER
+    load = None
+    encoded = False
+    own = _named_by_connection(answer.headers)
+    passed = []
+    for name, header in answer.headers:
+        key = name.lower()
+        if key == SIGNATURE:
+            signature = header
+        elif key == NOT_RUN:
+            ran = False
+        elif key == LOAD:
+            load = _load(header)
+        elif key == ENCODED:
+            encoded = True
+        if key not in OF_CONNECTION and key not in own:
+            passed.append((name, header))
+    return BackendAnswer(
+        status=answer.status,
+        headers=tuple(passed),
+        body=answer.body,
+        signature=signature,
+        ran=ran,
+        wrong_server=answer.status == WRONG_SERVER,
+        load=load,
+        is_encoded=encoded,
+    )
+
+
+def render_passed(answer: BackendAnswer) -> WireReply:
+    """Return a backend server's answer as the caller gets it."""
+    return WireReply(answer.status, list(answer.headers), answer.body)
+
+
+def render_gathered(request_id: str, gathered: Gathered) -> WireReply:
+    """Return an answer made of parts."""
+    headers = [
+        ('Request-Id', request_id),
+        ('Part-Stamps', ', '.join(gathered.signatures)),
+        ('Missing-Parts', str(gathered.missing)),
+    ]
+    return WireReply(200, headers, gathered.body)
+
+
+def render_turned_away(request_id: str, turned: TurnAway) -> WireReply:
+    """Return the end of a request without a result."""
+    status = {
+        Outcome.NO_ROUTE: 404,
+        Outcome.REFUSED: 503,
+        Outcome.TIMED_OUT: 504,
+    }.get(turned.outcome, 502)
+    headers = [('Request-Id', request_id), ('Content-Type', 'text/plain')]
+    if turned.retry_after_ms:
+        headers.append(('Retry-After', f'{turned.retry_after_ms / MS_PER_S:.3f}'))
+    return WireReply(status, headers, f'{turned.reason}\n'.encode())
+
+
+def _named_by_connection(headers: HeaderList) -> frozenset[str]:
+    """Return the headers that ``Connection`` names as its own."""
+    named = (
+        header.lower().split(',')
+        for name, header in headers
+        if name.lower() == 'connection'
+    )
+    return frozenset(key.strip() for keys in named for key in keys)
+
+
+def _patience(header: str) -> float:
+    try:
+        patience_ms = float(header)
+    except ValueError:
+        return PATIENCE_MAX_MS
+    return min(max(patience_ms, 0.0), PATIENCE_MAX_MS)
+
+
+def _load(header: str) -> LoadReport | None:
+    """Decode a report of load; None when it can't be read."""
+    pieces = [piece.strip() for piece in header.split(',')]
+    if len(pieces) != 3 or not all(piece.isdecimal() for piece in pieces):
+        return None
+    running, waiting, slots = (int(piece) for piece in pieces)
+    return LoadReport(running, waiting, slots)
