Let silent servers rest, and a cut-off VM say that it is not ready

A server that fell silent was tried again by each request, and used up the budget of extra calls; a VM in a zone that was cut off kept its callers though 7 of 20 shards lay elsewhere. Ruled out: lost log lines, a deaf watch (the store's watch had told revision 51).

--- a/cowsliploom/coordination/_acquaintances.py
+++ b/cowsliploom/coordination/_acquaintances.py
@@ -95,6 +95,10 @@
         )
         return (self.own, *others)
 
+    def remembered(self) -> list[Member]:
+        """Return the other members that are spoken of, silent ones too."""
+        return list(self._members.values())
+
     def live_names(self, now_ms: float) -> tuple[str, ...]:
         """Return the names of the live members."""
         return tuple(member.name for member in self.live(now_ms))
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -36,6 +36,7 @@
 WAIT_STEP_MS = 4.0  # between two looks for a server with room
 SHED_PAUSE_MS = 12.0  # before a server that shed is asked again
 UNOFFERED_SHARE = 0.2  # of the target; a request held longer unsent is refused
+SILENCE_MS = 200.0  # a pause of a server is shorter
 TRAIL_MS = 300.0  # a call that nobody needs may end by itself within this time
 RETRY_AFTER_MS = 400.0
 PATIENCE_MIN_MS = 2.0
@@ -121,8 +122,7 @@
                 commands.extend(self._failed(event))
             case CallerLeft():
                 self.is_left = True
-                commands.extend(self._drop_all())
-                return commands
+                return list(self._drop_all())
             case Ticked():
                 commands.extend(self._tick(now_ms))
         if self.reply is None and not self.is_left:
@@ -148,6 +148,7 @@
             return
         answer = event.answer
         server = attempt.server
+        server.heard_ms = event.now_ms
         if answer.load is not None:
             server.take_load(answer.load, event.now_ms)
         if answer.wrong_server:
@@ -247,7 +248,7 @@
     def _tick(self, now_ms: float) -> Iterator[Command]:
         if self.reply is not None:
             if now_ms >= self.due_ms:
-                yield from self._drop_all()
+                yield from self._give_up_calls(now_ms)
             return
         hedge_ms = self._hedge_delay_ms()
         for work in self.works:
@@ -335,11 +336,17 @@
 
     def _drop_all(self) -> Iterator[Command]:
         for call_id in list(self._calls):
-            work, attempt = self._close(call_id)
-            if attempt is not None:
-                attempt.server.was_slow(self.due_ms - attempt.sent_ms)
+            self._close(call_id)
             yield DropCall(call_id)
 
+    def _give_up_calls(self, now_ms: float) -> Iterator[Command]:
+        """Drop calls that nobody has waited for, and learn from their silence."""
+        for work in self.works:
+            for attempt in work.open.values():
+                if now_ms - attempt.sent_ms >= SILENCE_MS:
+                    attempt.server.gave_nothing(attempt.sent_ms, now_ms)
+        yield from self._drop_all()
+
     def _next_due_ms(self, now_ms: float) -> float:
         if self.reply is not None:
             return self.due_ms
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -86,6 +86,7 @@
         self.shed_share = 0.0
         self.is_leaving = False
         self.is_gone = False
+        self.heard_ms = float('-inf')
 
     @property
     def name(self) -> str:
@@ -144,10 +145,15 @@
         else:
             self.mean_ms = elapsed_ms
 
-    def was_slow(self, waited_ms: float) -> None:
-        """Learn from a call that is still open after a long wait."""
-        if waited_ms > self.mean_ms:
-            self.mean_ms += (waited_ms - self.mean_ms) * LATENCY_SHARE
+    def gave_nothing(self, sent_ms: float, now_ms: float) -> None:
+        """Learn from a call that is given up after a long wait.
+
+        A server that has answered nothing since has rather gone silent than slow.
+        """
+        if self.heard_ms < sent_ms:
+            self.unreachable(now_ms)
+        elif now_ms - sent_ms > self.mean_ms:
+            self.mean_ms += (now_ms - sent_ms - self.mean_ms) * LATENCY_SHARE
 
     def shed(self) -> None:
         """Learn from a refusal for want of room."""
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -11,6 +11,7 @@
 from cowsliploom.forwarding import ForwardingDesk
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._forwarder import Forwarder
+from cowsliploom.gateway._isolation import Isolation
 from cowsliploom.gateway._knowledge import Knowledge
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._peers import Peers
@@ -67,6 +68,9 @@
         )
         known = Acquaintances(own, self.settings.seeds, self._seed)
         self._peers = Peers(known, self._knowledge, self.log, self._now_ms)
+        self._isolation = Isolation(
+            self._desk, self._peers, self._store, self.log, self._now_ms
+        )
         self._callers = HttpListener(
             self.settings.callers_address,
             self._forwarder.take,
@@ -100,7 +104,13 @@
         ]
         for listener in listeners:
             await listener.start()
-        for work in (self._watch.run(), self._peers.run(), self._sweep()):
+        tasks = (
+            self._watch.run(),
+            self._peers.run(),
+            self._sweep(),
+            self._isolation.run(),
+        )
+        for work in tasks:
             self._tasks.append(self._loop.create_task(work))
         self.log.write(
             'daemon',
@@ -134,6 +144,9 @@
             self._desk.loop_lag_ms = max(0.0, now_ms - before_ms - SWEEP_MS)
             self._knowledge.release_held(now_ms)
             self._forwarder.sweep()
+            self._callers.is_draining = (
+                self._is_draining or self._isolation.is_isolated
+            )
 
     def _now_ms(self) -> float:
         return self._loop.time() * MS_PER_S
@@ -166,7 +179,9 @@
         self.log.write('daemon', 'reloaded', seeds=list(settings.seeds))
 
     def _tell_ready(self, request: HttpRequest) -> None:
-        ready = self._knowledge.is_ready and not self._is_draining
+        ready = self._knowledge.is_ready and not (
+            self._is_draining or self._isolation.is_isolated
+        )
         request.answer(200 if ready else 503, [], b'')
 
     def _tell_figures(self, request: HttpRequest) -> None:
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -64,10 +64,7 @@
     def take(self, batch: Batch, heard: Heard, now_ms: float) -> None:
         """Take what the store or a peer told."""
         changed = self.mirror.take(batch)
-        confirmed_ms = now_ms - heard.age_ms
-        if batch.revision >= self.mirror.revision:
-            known_ms = self.confirmed_ms
-            self.confirmed_ms = max(confirmed_ms, known_ms or confirmed_ms)
+        self.confirm(batch.revision, heard, now_ms)
         if not changed:
             return
         if platform.CONFIGURATION_KEY in changed:
@@ -77,6 +74,15 @@
         if servers:
             self._take_servers(servers, heard, now_ms)
 
+    def confirm(self, revision: int, heard: Heard, now_ms: float) -> None:
+        """Note that a revision was the newest when the source heard it.
+
+        A source that knows more than is known here confirms nothing.
+        """
+        if revision == self.mirror.revision:
+            confirmed_ms = now_ms - heard.age_ms
+            self.confirmed_ms = max(confirmed_ms, self.confirmed_ms or confirmed_ms)
+
     def release_held(self, now_ms: float) -> None:
         """Give up servers whose registration has not come back in time."""
         due = [key for key, until_ms in self._held.items() if now_ms >= until_ms]
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -27,6 +27,7 @@
 TIMEOUT_MS = 400.0
 STALE_MS = 6000.0  # the store's word is older than a watch takes: ask peers eagerly
 UNKNOWN_SHARERS = 12  # while nobody was heard: careful, as there may be many
+REACH_ASKED = 3
 PATH = '/peers'
 
 
@@ -79,6 +80,17 @@
         others = self.known.live(self.now_ms())[1:]
         await asyncio.gather(*(self._exchange(member.address) for member in others))
 
+    async def reaches_others(self) -> bool:
+        """Tell whether a member outside the own data centre answers."""
+        own = self.known.own
+        others = self.known.remembered()
+        far = [member for member in others if member.data_centre != own.data_centre]
+        asked = self._random.sample(far or others, min(REACH_ASKED, len(far or others)))
+        answers = await asyncio.gather(
+            *(self._exchange(member.address) for member in asked)
+        )
+        return any(answers)
+
     def owns(self, server: str) -> bool:
         """Tell whether this daemon is the one that may ask a cold server."""
         names = self.known.live_names(self.now_ms())
@@ -102,7 +114,7 @@
             )
             self._live = live
 
-    async def _exchange(self, address: str) -> None:
+    async def _exchange(self, address: str) -> bool:
         loop = asyncio.get_running_loop()
         done: asyncio.Future[CallResult] = loop.create_future()
         body = encode_message(self._message(None))
@@ -119,9 +131,10 @@
             reply = await asyncio.wait_for(done, TIMEOUT_MS / MS_PER_S)
         except asyncio.TimeoutError:
             call.drop()
-            return
-        if isinstance(reply, HttpAnswer):
-            self._hear(decode_message(reply.body))
+            return False
+        message = decode_message(reply.body) if isinstance(reply, HttpAnswer) else None
+        self._hear(message)
+        return message is not None
 
     def _pool(self, address: str) -> ConnectionPool:
         known = self._pools.get(address)
@@ -164,5 +177,5 @@
         heard = Heard(message.name, message.age_ms)
         if message.batch is not None:
             self.knowledge.take(message.batch, heard, now_ms)
-        elif message.revision >= self.knowledge.mirror.revision:
-            self.knowledge.take(Batch(message.revision), heard, now_ms)
+        else:
+            self.knowledge.confirm(message.revision, heard, now_ms)
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT_MS = 1000
 OK = 200
 HISTORY_GONE = 410
+PROBE_STATUSES = frozenset((OK, 404))
 PAGES_MAX = 64
 
 Found = TypeVar('Found')
@@ -108,6 +109,12 @@
             after = page.items[-1].key
         return StoreUnanswered('store.list', self.address, 'too many pages')
 
+    async def answers(self, timeout_ms: float) -> bool:
+        """Tell whether the store answers, by the cheapest call there is."""
+        path = '/v1/kv-key?key=op%2Fconfig&serializable=1'
+        reply = await self._call('probe', 'GET', path, timeout_ms)
+        return isinstance(reply, HttpAnswer) and reply.status in PROBE_STATUSES
+
     async def watch(
         self, prefix: str, after: int, wait_ms: int, timeout_ms: float
     ) -> Batch | HistoryGone | StoreUnanswered:
