Fade what was learnt of a server, and ask a full one when a slot may be free

Cause: a server that shed was asked again after 12 ms whatever its speed, which used up the budget; its latency and trouble stayed in force while nothing was sent to it.

--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from typing import Protocol
 
-from cowsliploom.forwarding._fleet import Fleet
+from cowsliploom.forwarding._fleet import CallLimits, Fleet
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import (
     CallAnswered,
@@ -27,6 +27,7 @@
 from cowsliploom.forwarding._routes import Route
 from cowsliploom.forwarding._work import Attempt, Work
 
+HALF = 0.5
 HEDGE_QUANTILE = 0.9
 HEDGE_RATIO = 1.25  # over the quantile, so that a usual tail is not hedged
 HEDGE_MIN_MS = 5.0
@@ -34,7 +35,6 @@
 ANSWER_MARGIN_MS = 5.0  # the caller's path, and the time to write
 FINAL_MARGIN_MS = 25.0  # before the caller gives up
 WAIT_STEP_MS = 4.0  # between two looks for a server with room
-SHED_PAUSE_MS = 12.0  # before a server that shed is asked again
 UNOFFERED_SHARE = 0.2  # of the target; a request held longer unsent is refused
 SILENCE_MS = 200.0  # a pause of a server is shorter
 TRAIL_MS = 300.0  # a call that nobody needs may end by itself within this time
@@ -140,6 +140,9 @@
             work.waits_until_ms = now_ms
         return self.step(Ticked(now_ms))
 
+    def _usual_ms(self) -> float:
+        return self._desk.latency(self.route).quantile(HALF)
+
     # What came back.
 
     def _answered(self, event: CallAnswered) -> Iterator[Command]:
@@ -156,7 +159,7 @@
             work.did_not_run(attempt, rejected=False)
             yield from self._again(work, event.now_ms)
         elif not answer.ran:
-            server.shed()
+            server.shed(event.now_ms)
             work.did_not_run(attempt, rejected=True)
             yield from self._again(work, event.now_ms)
         elif answer.is_good:
@@ -217,8 +220,8 @@
 
     def _send(self, work: Work, now_ms: float) -> Iterator[Command]:
         fleet = self._desk.fleet
-        avoided = work.tried | work.rejected_by
-        server = fleet.choose(work.service, avoided, now_ms, work.calls_max)
+        limits = CallLimits(self._usual_ms(), work.calls_max)
+        server = fleet.choose(work.service, work.tried, now_ms, limits)
         if server is None:
             if not work.open:
                 self._wait(work, now_ms)
@@ -236,11 +239,7 @@
 
     def _wait(self, work: Work, now_ms: float) -> None:
         """Wait for room at a server, or give up where there is no server."""
-        fleet = self._desk.fleet
-        if work.rejected_by and fleet.has_usable(work.service, work.tried):
-            work.rejected_by.clear()
-            work.waits_until_ms = now_ms + SHED_PAUSE_MS
-        elif fleet.has_usable(work.service, work.tried):
+        if self._desk.fleet.has_usable(work.service, work.tried):
             work.waits_until_ms = now_ms + WAIT_STEP_MS
         else:
             work.end('no server')
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -9,7 +9,6 @@
 CONNECTIONS_SHARE = 0.85  # the rest covers replaced and silent connections
 NOISE = 0.1  # keeps entry VMs from choosing alike
 COLD_GAP_MS = 500.0  # between two requests of a cold server's owner
-PROBATION_MS = 3000.0  # what was learnt of a latency fades in about this time
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +20,22 @@
     service: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Bound the choice of a server for one call.
+
+    Parameters
+    ----------
+    usual_ms : float
+        What calls of this kind usually take, at any server.
+    calls_max : int
+        Calls that this entry VM may have open at one server.
+    """
+
+    usual_ms: float
+    calls_max: int
+
+
 class Fleet:
     """Own the backend servers.
 
@@ -68,7 +83,11 @@
         return changes
 
     def choose(
-        self, service: str, tried: Iterable[str], now_ms: float, calls_max: int
+        self,
+        service: str,
+        tried: Iterable[str],
+        now_ms: float,
+        limits: CallLimits,
     ) -> Server | None:
         """Return the server for one more call, or None when none can take it.
 
@@ -80,16 +99,19 @@
             Servers that had their attempt.
         now_ms : float
             Time by the own steady clock.
-        calls_max : int
-            Calls that this entry VM may have open at one server.
+        limits : CallLimits
+            What a call usually takes, and how many may be open at one server.
         """
         usable = self._usable(service, tried)
         warm = [server for server in usable if not server.is_cold(now_ms)]
         open_to_calls = [
-            server for server in warm if len(server.open_calls) < calls_max
+            server
+            for server in warm
+            if len(server.open_calls) < limits.calls_max
+            and now_ms >= server.full_until_ms
         ]
         rested = [server for server in open_to_calls if not server.is_resting(now_ms)]
-        chosen = self._quickest(rested or open_to_calls, now_ms)
+        chosen = self._quickest(rested or open_to_calls, now_ms, limits.usual_ms)
         if chosen is None and not warm:
             return self._choose_cold(usable, now_ms)
         return chosen
@@ -108,11 +130,11 @@
             and server.record.data_centre not in closed
         ]
 
-    def _quickest(self, servers: list[Server], now_ms: float) -> Server | None:
+    def _quickest(
+        self, servers: list[Server], now_ms: float, usual_ms: float
+    ) -> Server | None:
         if len(servers) < 2:
             return servers[0] if servers else None
-        means = [server.mean_ms for server in servers if server.mean_ms]
-        usual_ms = min(means, default=0.0)
         noise = self._random.uniform
         return min(
             servers,
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -9,6 +9,8 @@
 PAUSED_MIN_MS = 15.0
 RESTED_MIN_MS = 400.0  # first rest after failures; doubles up to the most
 RESTED_MAX_MS = 3000.0
+MEMORY_MS = 3000.0  # silence after which what was learnt of a latency is void
+FULL_MIN_MS = 8.0  # before a server that shed is asked again
 ERROR_SHARE = 0.2  # weight of the newest outcome in the share of failures
 
 
@@ -87,6 +89,7 @@
         self.is_leaving = False
         self.is_gone = False
         self.heard_ms = float('-inf')
+        self.full_until_ms = float('-inf')
 
     @property
     def name(self) -> str:
@@ -155,9 +158,11 @@
         elif now_ms - sent_ms > self.mean_ms:
             self.mean_ms += (now_ms - sent_ms - self.mean_ms) * LATENCY_SHARE
 
-    def shed(self) -> None:
-        """Learn from a refusal for want of room."""
+    def shed(self, now_ms: float) -> None:
+        """Learn from a refusal for want of room; one slot may be free by then."""
         self.shed_share += (1 - self.shed_share) * ERROR_SHARE
+        free_ms = self.mean_ms / max(1, self.record.slots)
+        self.full_until_ms = now_ms + max(FULL_MIN_MS, free_ms)
 
     def failed(self, now_ms: float) -> None:
         """Learn from a failure, and rest the longer the more there were."""
@@ -183,17 +188,24 @@
             return 0.0
         return now_ms - next(iter(self.open_calls.values()))
 
-    def expected_ms(self, now_ms: float, service_mean_ms: float) -> float:
+    def typical_ms(self, now_ms: float, usual_ms: float) -> float:
+        """Return the server's mean, the nearer to the usual the older it is."""
+        if not self.mean_ms:
+            return usual_ms
+        fresh = self._freshness(now_ms)
+        return self.mean_ms * fresh + usual_ms * (1 - fresh)
+
+    def expected_ms(self, now_ms: float, usual_ms: float) -> float:
         """Return the time that one more call is likely to take.
 
         Parameters
         ----------
         now_ms : float
             Time by the own steady clock.
-        service_mean_ms : float
-            Mean of the service, for a server without samples.
+        usual_ms : float
+            What calls of this kind usually take, at any server.
         """
-        mean_ms = self.mean_ms or service_mean_ms
+        mean_ms = self.typical_ms(now_ms, usual_ms)
         slots = max(1, self.record.slots)
         ahead = len(self.open_calls)
         if now_ms - self.load_ms < LOAD_FRESH_MS:
@@ -203,5 +215,9 @@
         waited_ms = self.oldest_wait_ms(now_ms)
         if waited_ms > max(PAUSED_MIN_MS, PAUSED_RATIO * mean_ms):
             expected_ms += waited_ms
-        trouble = self.error_share + self.shed_share
+        trouble = (self.error_share + self.shed_share) * self._freshness(now_ms)
         return expected_ms * (1 + 4 * trouble)
+
+    def _freshness(self, now_ms: float) -> float:
+        """Return how much what was learnt still counts, from 1 to 0."""
+        return max(0, 1 - (now_ms - self.heard_ms) / MEMORY_MS)
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -47,7 +47,6 @@
         self.calls_max = calls_max
         self.open: dict[int, Attempt] = {}
         self.tried: set[str] = set()
-        self.rejected_by: set[str] = set()
         self.sends = 0
         self.runs = 0
         self.rejections = 0
@@ -78,7 +77,6 @@
         """Take back a call that has certainly not run."""
         self.runs -= 1
         self.tried.discard(attempt.server.name)
-        self.rejected_by.add(attempt.server.name)
         self.rejections += 1
         if not rejected:
             self.sends -= 1
