--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -36,7 +36,6 @@
 FINAL_MARGIN_MS = 25.0  # before the caller gives up
 WAIT_STEP_MS = 4.0  # between two looks for a server with room
 UNOFFERED_SHARE = 0.2  # of the target; a request held longer unsent is refused
-SILENCE_MS = 200.0  # a pause of a server is shorter
 TRAIL_MS = 300.0  # a call that nobody needs may end by itself within this time
 RETRY_AFTER_MS = 400.0
 PATIENCE_MIN_MS = 2.0
@@ -342,8 +341,8 @@
         """Drop calls that nobody has waited for, and learn from their silence."""
         for work in self.works:
             for attempt in work.open.values():
-                if now_ms - attempt.sent_ms >= SILENCE_MS:
-                    attempt.server.gave_nothing(attempt.sent_ms, now_ms)
+                if attempt.server.is_silent(now_ms):
+                    attempt.server.unreachable(now_ms)
         yield from self._drop_all()
 
     def _next_due_ms(self, now_ms: float) -> float:
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -11,6 +11,8 @@
 RESTED_MAX_MS = 3000.0
 MEMORY_MS = 3000.0  # silence after which what was learnt of a latency is void
 FULL_MIN_MS = 8.0  # before a server that shed is asked again
+SILENCE_MIN_MS = 200.0  # a pause is shorter
+SILENCE_RATIO = 4.0
 ERROR_SHARE = 0.2  # weight of the newest outcome in the share of failures
 
 
@@ -127,7 +129,15 @@
 
     def is_resting(self, now_ms: float) -> bool:
         """Tell whether failures keep requests off the server for now."""
-        return now_ms < self.rests_until_ms
+        return now_ms < self.rests_until_ms or self.is_silent(now_ms)
+
+    def is_silent(self, now_ms: float) -> bool:
+        """Tell whether nothing came for far longer than an answer takes."""
+        if not self.open_calls:
+            return False
+        sent_ms = next(iter(self.open_calls.values()))
+        patience_ms = max(SILENCE_MIN_MS, SILENCE_RATIO * self.mean_ms)
+        return self.heard_ms < sent_ms and now_ms - sent_ms > patience_ms
 
     def sent(self, call_id: int, now_ms: float) -> None:
         """Count a call."""
@@ -148,16 +158,6 @@
         else:
             self.mean_ms = elapsed_ms
 
-    def gave_nothing(self, sent_ms: float, now_ms: float) -> None:
-        """Learn from a call that is given up after a long wait.
-
-        A server that has answered nothing since has rather gone silent than slow.
-        """
-        if self.heard_ms < sent_ms:
-            self.unreachable(now_ms)
-        elif now_ms - sent_ms > self.mean_ms:
-            self.mean_ms += (now_ms - sent_ms - self.mean_ms) * LATENCY_SHARE
-
     def shed(self, now_ms: float) -> None:
         """Learn from a refusal for want of room; one slot may be free by then."""
         self.shed_share += (1 - self.shed_share) * ERROR_SHARE
