--- a/cowsliploom/coordination/_acquaintances.py
+++ b/cowsliploom/coordination/_acquaintances.py
@@ -8,6 +8,7 @@
 
 LIVE_MS = 4000.0  # silence after which a member no longer counts
 FORGET_MS = 20_000.0  # silence after which nobody speaks of a member any more
+SEED_SHARE = 0.1  # of all exchanges go to a seed
 OWN_DATA_CENTRE_SHARE = 0.75  # of all exchanges; the rest cross to another one
 
 
@@ -113,7 +114,7 @@
         """
         others = [member for member in self.live(now_ms) if member is not self.own]
         seeds = [seed for seed in self.seeds if seed != self.own.address]
-        if seeds and (not others or self._random.random() < 0.1):
+        if seeds and (not others or self._random.random() < SEED_SHARE):
             return self._random.choice(seeds)
         near = [
             member for member in others if member.data_centre == self.own.data_centre
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -81,7 +81,7 @@
         self,
         content: bytes,
         on_result: Callable[[CallResult], None],
-        is_own: Callable[[HttpAnswer], bool] = lambda answer: True,
+        is_own: Callable[[HttpAnswer], bool] = bool,
     ) -> None:
         self.content = content
         self.on_result = on_result
@@ -124,7 +124,7 @@
 
     def __init__(self, pool: 'ConnectionPool') -> None:
         self.pool = pool
-        self.idle_since_ms = 0.0
+        self.idle_since_ms: float = 0
         self.idle_max_ms: float = IDLE_DEFAULT_MS
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -252,9 +252,10 @@
 
     def _deliver(self) -> None:
         """Hand on a finished answer once all bytes that came with it are read."""
-        finished, self._finished = self._finished, None
+        finished = self._finished
         if finished is None:
             return
+        self._finished = None
         self._call = None
         if finished.keep and not (self._stale_answers or self._has_extra):
             self._keep()
@@ -269,7 +270,7 @@
         self.pool.keep(self)
 
     def _fail(self, step: FailedStep, reason: str, may_have_run: bool = True) -> None:
-        call, self._call = self._call, None
+        call = self._call
         self.abort()
         if call is not None:
             call.end(HttpFailure(step, self.pool.address, reason, may_have_run))
@@ -368,5 +369,5 @@
     for piece in header.split(','):
         name, _, seconds = piece.strip().partition('=')
         if name.lower() == 'timeout' and seconds.isdigit():
-            return max(0.0, int(seconds) * MS_PER_S - IDLE_GRACE_MS)
+            return max(0, int(seconds) * MS_PER_S - IDLE_GRACE_MS)
     return default_ms
--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -63,6 +63,10 @@
 Handler = Callable[[HttpRequest], Callable[[], None] | None]
 
 
+def _ignore(status: int) -> None:
+    """Do nothing about a request that couldn't be read."""
+
+
 class ServerConnection(asyncio.Protocol):
     """Own one caller's connection.
 
@@ -86,7 +90,7 @@
         self._body_bytes = 0
         self._reading = False
         self._rejected = False
-        self.since_ms = 0.0
+        self.since_ms: float = 0
 
     @property
     def is_idle(self) -> bool:
@@ -109,7 +113,8 @@
         self._server.connections.discard(self)
         self._transport = None
         self._waiting.clear()
-        on_left, self._on_left = self._on_left, None
+        on_left = self._on_left
+        self._on_left = None
         self._current = None
         if on_left is not None:
             on_left()
@@ -276,7 +281,7 @@
         address: str,
         handler: Handler,
         limits: Callable[[], ServerLimits] = ServerLimits,
-        on_rejected: Callable[[int], None] = lambda status: None,
+        on_rejected: Callable[[int], None] = _ignore,
     ) -> None:
         self.address = address
         self.handler = handler
--- a/cowsliploom/forwarding/_budget.py
+++ b/cowsliploom/forwarding/_budget.py
@@ -18,7 +18,7 @@
         self.window_ms = window_ms
         self.slices = slices
         self._counts: deque[list[float]] = deque()
-        self._sum = 0.0
+        self._sum: float = 0
 
     def add(self, now_ms: float, amount: float = 1) -> None:
         """Count an event."""
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -57,7 +57,6 @@
         self.budget_rules = budget_rules
         self.table = RouteTable()
         self.fleet = Fleet(seed, owns)
-        self.loop_lag_ms = 0.0
         self._random = random.Random(seed)
         self._call_ids = itertools.count(1)
         self._budgets: dict[str, ExtraBudget] = {}
@@ -96,10 +95,6 @@
             self._latencies[route.name] = known
         return known
 
-    def lag_ms(self) -> float:
-        """Return how late this entry VM is with its work."""
-        return self.loop_lag_ms
-
     def retry_after_ms(self, usual_ms: float) -> float:
         """Return a time to come back that spreads callers."""
         return usual_ms * self._random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -81,13 +81,13 @@
         self.record = record
         self.cold_until_ms = now_ms + record.cold_ms
         self.open_calls: dict[int, float] = {}
-        self.mean_ms = 0.0
+        self.mean_ms: float = 0
         self.load = LoadReport(0, 0, record.slots)
         self.load_ms = -LOAD_FRESH_MS
-        self.rests_until_ms = 0.0
+        self.rests_until_ms: float = 0
         self.failures = 0
-        self.error_share = 0.0
-        self.shed_share = 0.0
+        self.error_share: float = 0
+        self.shed_share: float = 0
         self.is_leaving = False
         self.is_gone = False
         self.heard_ms = float('-inf')
@@ -150,7 +150,7 @@
     def succeeded(self, elapsed_ms: float) -> None:
         """Learn from a good answer."""
         self.failures = 0
-        self.rests_until_ms = 0.0
+        self.rests_until_ms = 0
         self.error_share *= 1 - ERROR_SHARE
         self.shed_share *= 1 - ERROR_SHARE
         if self.mean_ms:
@@ -185,7 +185,7 @@
     def oldest_wait_ms(self, now_ms: float) -> float:
         """Return how long the oldest open call has been waiting."""
         if not self.open_calls:
-            return 0.0
+            return 0
         return now_ms - next(iter(self.open_calls.values()))
 
     def typical_ms(self, now_ms: float, usual_ms: float) -> float:
--- /dev/null
+++ b/cowsliploom/forwarding/_verdict.py
@@ -0,0 +1,153 @@
+"""When a request is answered, and with what."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cowsliploom.forwarding._messages import (
+    BackendAnswer,
+    CallerRequest,
+    Gathered,
+    Outcome,
+    PassOn,
+    Reply,
+    TurnAway,
+)
+from cowsliploom.forwarding._records import merge_records
+from cowsliploom.forwarding._routes import Gather, Route
+from cowsliploom.forwarding._work import Work
+
+ANSWER_MARGIN_MS = 5.0  # the caller's path, and the time to write
+FINAL_MARGIN_MS = 25.0  # before the caller gives up
+FINAL_MARGIN_SHARE = 0.1  # of a short patience
+UNOFFERED_SHARE = 0.2  # of the target; a request held longer unsent is refused
+RETRY_AFTER_MS = 400.0
+ROUNDING = 1e-9
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+GOOD_MIN = 200
+GOOD_END = 300
+
+
+@dataclass(frozen=True, slots=True)
+class Timeline:
+    """Hold the moments of one request, by the own steady clock.
+
+    Parameters
+    ----------
+    offer_ms : float
+        From then on a request that no server had room for is refused.
+    answer_ms : float
+        From then on an answer with enough parts goes out.
+    limit_ms : float
+        From then on the request ends without a result.
+    end_ms : float
+        When the caller, or the route's timeout, gives up.
+    """
+
+    offer_ms: float
+    answer_ms: float
+    limit_ms: float
+    end_ms: float
+
+
+def timeline(request: CallerRequest, route: Route) -> Timeline:
+    """Return the moments of a request on its route."""
+    arrived_ms = request.arrived_ms
+    patience_ms = min(request.patience_ms, route.timeout_ms)
+    margin_ms = min(FINAL_MARGIN_MS, patience_ms * FINAL_MARGIN_SHARE)
+    return Timeline(
+        offer_ms=arrived_ms + route.target_ms * UNOFFERED_SHARE,
+        answer_ms=arrived_ms + min(route.target_ms, patience_ms) - ANSWER_MARGIN_MS,
+        limit_ms=arrived_ms + patience_ms - margin_ms,
+        end_ms=arrived_ms + patience_ms,
+    )
+
+
+class Verdict:
+    """Judge from a request's works whether it is answered now.
+
+    Parameters
+    ----------
+    route : Route
+        Route of the request.
+    works : tuple of Work
+        One for each service that is asked.
+    times : Timeline
+        Moments of the request.
+    retry_after_ms : callable
+        Spreads the time to come back.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        works: tuple[Work, ...],
+        times: Timeline,
+        retry_after_ms: Callable[[float], float],
+    ) -> None:
+        self.route = route
+        self.works = works
+        self.times = times
+        self.retry_after_ms = retry_after_ms
+
+    def conclude(self, now_ms: float) -> Reply | None:
+        """Return the reply if there is one by now."""
+        gather = self.route.gather
+        if gather is None:
+            reply = self._conclude_single(self.works[0], now_ms)
+        else:
+            reply = self._conclude_gather(gather, now_ms)
+        if reply is None and now_ms >= self.times.limit_ms:
+            return self._time_out()
+        return reply
+
+    def _conclude_single(self, work: Work, now_ms: float) -> Reply | None:
+        if work.part is not None:
+            return PassOn(work.part)
+        if work.ended_by:
+            failure = work.failure
+            if failure is not None and _may_pass_on(failure):
+                return PassOn(failure)
+            return self._turn_away(work.ended_by)
+        if work.sends == 0 and now_ms >= self.times.offer_ms:
+            return self._turn_away('no room at any server')
+        return None
+
+    def _conclude_gather(self, gather: Gather, now_ms: float) -> Reply | None:
+        total = len(self.works)
+        parts = sum(work.part is not None for work in self.works)
+        open_works = sum(work.is_open for work in self.works)
+        wanted = max(1, gather.coverage_min * total - ROUNDING)
+        is_time = not open_works or now_ms >= self.times.answer_ms
+        if parts >= wanted and is_time:
+            return self._gathered(gather.records_max)
+        if parts + open_works < wanted:
+            return self._turn_away('too many shards without a server')
+        return None
+
+    def _gathered(self, records_max: int) -> Gathered:
+        parts = [work.part for work in self.works if work.part is not None]
+        return Gathered(
+            tuple(part.signature for part in parts),
+            len(self.works) - len(parts),
+            merge_records((part.body for part in parts), records_max),
+        )
+
+    def _turn_away(self, reason: str) -> TurnAway:
+        if any(work.may_have_run for work in self.works):
+            return TurnAway(Outcome.FAILED, reason)
+        return TurnAway(Outcome.REFUSED, reason, self.retry_after_ms(RETRY_AFTER_MS))
+
+    def _time_out(self) -> TurnAway:
+        if any(work.may_have_run for work in self.works):
+            return TurnAway(Outcome.TIMED_OUT, 'no answer in time')
+        return self._turn_away('no room in time')
+
+
+def _may_pass_on(failure: BackendAnswer) -> bool:
+    """Tell whether a failed answer says nothing untrue to the caller.
+
+    A success that is no good answer isn't one, and a status that promises that the
+    request has not run must not come from a server that doesn't say so.
+    """
+    is_success = GOOD_MIN <= failure.status < GOOD_END
+    return not (is_success or failure.status in PROMISES_NOT_RUN)
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -85,6 +85,16 @@
         """Tell whether the bounds on attempts allow one more call."""
         return self.runs < attempts_max and self.rejections < REJECTED_MAX
 
+    @property
+    def newest_ms(self) -> float:
+        """Return when the newest open call was sent."""
+        return max((attempt.sent_ms for attempt in self.open.values()), default=0)
+
+    def end_unless_open(self, reason: str) -> None:
+        """Give the work up if no call is open."""
+        if not self.open:
+            self.end(reason)
+
     def end(self, reason: str) -> None:
         """Give the work up."""
         if self.is_open:
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -138,15 +138,10 @@
 
     async def _sweep(self) -> None:
         while True:
-            before_ms = self._now_ms()
             await asyncio.sleep(SWEEP_MS / MS_PER_S)
-            now_ms = self._now_ms()
-            self._desk.loop_lag_ms = max(0.0, now_ms - before_ms - SWEEP_MS)
-            self._knowledge.release_held(now_ms)
+            self._knowledge.release_held(self._now_ms())
             self._forwarder.sweep()
-            self._callers.is_draining = (
-                self._is_draining or self._isolation.is_isolated
-            )
+            self._callers.is_draining = self._is_draining or self._isolation.is_isolated
 
     def _now_ms(self) -> float:
         return self._loop.time() * MS_PER_S
@@ -189,5 +184,5 @@
             self.figures.set_gauge(f'store_calls_{kind}', calls)
         self.figures.set_gauge('open_requests', self._forwarder.open)
         self.figures.set_gauge('log_lines_lost', self.log.lost)
-        headers = [('Content-Type', 'text/plain; version=0.0.4')]
+        headers = [('Content-Type', 'text/plain; version=0.4')]
         request.answer(200, headers, self.figures.text().encode())
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from cowsliploom import forwarding, platform
+from cowsliploom import platform
 from cowsliploom.dataplane import (
     CallResult,
     ConnectionPool,
@@ -13,15 +13,21 @@
     HttpRequest,
 )
 from cowsliploom.forwarding import (
+    CallAnswered,
+    CallerLeft,
     CallerRequest,
+    CallFailed,
+    CallStep,
     Command,
     DropCall,
     Exchange,
+    ExchangeEvent,
     ForwardingDesk,
     Gathered,
     PassOn,
     Reply,
     SendCall,
+    Ticked,
     TurnAway,
 )
 from cowsliploom.gateway._request_log import RequestLog
@@ -104,9 +110,10 @@
         reply: Reply | None,
     ) -> None:
         wire = _render(request.request_id, reply)
+        status = 0
         if wire is not None:
-            http.answer(wire.status, wire.headers, wire.body)
-        status = wire.status if wire is not None else 0
+            status = wire.status
+            http.answer(status, wire.headers, wire.body)
         elapsed_ms = self.now_ms() - request.arrived_ms
         self.request_log.ended(request, exchange, reply, status, elapsed_ms)
 
@@ -127,7 +134,7 @@
         self._exchange = exchange
         self._calls: dict[int, HttpCall] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._timer_ms = 0.0
+        self._timer_ms: float = 0
 
     def start(self) -> None:
         """Send the first calls."""
@@ -135,10 +142,10 @@
 
     def caller_left(self) -> None:
         """Drop all calls, as nobody waits."""
-        self._step(forwarding.CallerLeft(self._owner.now_ms()))
+        self._step(CallerLeft(self._owner.now_ms()))
         self._owner.finish(self._http, self._request, self._exchange, None)
 
-    def _step(self, event: forwarding.ExchangeEvent) -> None:
+    def _step(self, event: ExchangeEvent) -> None:
         self._carry_out(self._exchange.step(event))
 
     def _carry_out(self, commands: list[Command]) -> None:
@@ -147,15 +154,18 @@
                 case SendCall():
                     self._send(command)
                 case DropCall(call_id):
-                    call = self._calls.pop(call_id, None)
-                    if call is not None:
-                        call.drop()
+                    self._drop(call_id)
                 case _:
                     self._owner.finish(
                         self._http, self._request, self._exchange, command
                     )
         self._set_timer()
 
+    def _drop(self, call_id: int) -> None:
+        call = self._calls.pop(call_id, None)
+        if call is not None:
+            call.drop()
+
     def _send(self, command: SendCall) -> None:
         server = command.server
         content = platform.render_call(self._request, server.name, command.patience_ms)
@@ -172,13 +182,11 @@
         now_ms = self._owner.now_ms()
         if isinstance(result, HttpAnswer):
             answer = platform.read_answer(result)
-            self._step(forwarding.CallAnswered(now_ms, call_id, answer))
+            self._step(CallAnswered(now_ms, call_id, answer))
             return
-        step = forwarding.CallStep(result.step.value)
+        step = CallStep(result.step.value)
         self._step(
-            forwarding.CallFailed(
-                now_ms, call_id, step, result.reason, result.may_have_run
-            )
+            CallFailed(now_ms, call_id, step, result.reason, result.may_have_run)
         )
 
     def _set_timer(self) -> None:
@@ -196,7 +204,7 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._step(forwarding.Ticked(self._owner.now_ms()))
+        self._step(Ticked(self._owner.now_ms()))
 
 
 def _render(request_id: str, reply: Reply | None) -> platform.WireReply | None:
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -10,6 +10,7 @@
 LAPSE_HOLD_MS = 2300.0  # live servers are back this long after the store's return
 LAPSE_SHARE = 0.25  # of all servers; more that go at once have rather lapsed
 LAPSE_MIN = 3
+NEVER_MS = 1e9  # age of what the store has never confirmed
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +56,9 @@
 
     def confirmed_age_ms(self, now_ms: float) -> float:
         """Return how long ago the store confirmed what is known here."""
-        return now_ms - self.confirmed_ms if self.confirmed_ms is not None else 1e9
+        if self.confirmed_ms is None:
+            return NEVER_MS
+        return now_ms - self.confirmed_ms
 
     def store_returned(self, now_ms: float) -> None:
         """Note that the store answers again after it didn't."""
@@ -142,7 +145,7 @@
         """Return until when removed servers stay, as their entries may return."""
         lapsed = removed >= max(LAPSE_MIN, len(self._records) * LAPSE_SHARE)
         after_outage_ms = self._store_back_ms + LAPSE_HOLD_MS
-        return max(after_outage_ms, now_ms + LAPSE_HOLD_MS if lapsed else 0.0)
+        return max(after_outage_ms, now_ms + LAPSE_HOLD_MS if lapsed else 0)
 
     def _update_fleet(self, heard: Heard, now_ms: float) -> None:
         for change in self.desk.fleet.update(self._records.values(), now_ms):
--- a/cowsliploom/gateway/_line_log.py
+++ b/cowsliploom/gateway/_line_log.py
@@ -38,7 +38,7 @@
         self._buffer: deque[bytes] = deque()
         self._bytes = 0
         self._tokens = BURST_LINES
-        self._earned_ms = 0.0
+        self._earned_ms: float = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._flushing: asyncio.TimerHandle | None = None
 
@@ -63,8 +63,7 @@
         if not self._may_write():
             self.lost += 1
             return
-        fields = {'now_ms': self._now_ms(), 'part': part, 'event': event, **fields}
-        line = self._encode(fields) + b'\n'
+        line = self._line({'part': part, 'event': event, **fields})
         if self._bytes + len(line) > BUFFER_BYTES_MAX:
             self.lost += 1
             return
@@ -78,8 +77,11 @@
         """Write what the reader takes now."""
         self._flush()
 
+    def _line(self, fields: dict[str, LogField]) -> bytes:
+        return b'%b\n' % self._encode({'now_ms': self._now_ms(), **fields})
+
     def _now_ms(self) -> float:
-        return round(self._loop.time() * MS_PER_S, 1) if self._loop else 0.0
+        return round(self._loop.time() * MS_PER_S, 1) if self._loop else 0
 
     def _may_write(self) -> bool:
         now_ms = self._now_ms()
@@ -94,17 +96,12 @@
     def _flush(self) -> None:
         self._flushing = None
         if self.lost:
-            self._buffer.append(
-                self._encode(
-                    {
-                        'now_ms': self._now_ms(),
-                        'part': 'log',
-                        'event': 'lines lost',
-                        'lines': self.lost,
-                    }
-                )
-                + b'\n'
-            )
+            told: dict[str, LogField] = {
+                'part': 'log',
+                'event': 'lines lost',
+                'lines': self.lost,
+            }
+            self._buffer.append(self._line(told))
             self.lost = 0
         pending = b''.join(self._buffer)
         self._buffer.clear()
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -175,7 +175,7 @@
         if message.is_leaving:
             self.known.left(message.name)
         heard = Heard(message.name, message.age_ms)
-        if message.batch is not None:
-            self.knowledge.take(message.batch, heard, now_ms)
-        else:
+        if message.batch is None:
             self.knowledge.confirm(message.revision, heard, now_ms)
+        else:
+            self.knowledge.take(message.batch, heard, now_ms)
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from cowsliploom.coordination import Batch
 from cowsliploom.gateway._knowledge import Heard, Knowledge
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.platform import HistoryGone, PlatformStore, StoreUnanswered
@@ -57,16 +58,18 @@
             pause_ms = await self._once()
             await asyncio.sleep(pause_ms / MS_PER_S)
 
-    async def _once(self) -> float:
+    async def _ask(self) -> Batch | HistoryGone | StoreUnanswered:
         if self._lists_next:
-            reply = await self.store.list_under('', LIST_TIMEOUT_MS)
-        else:
-            reply = await self.store.watch(
-                '',
-                self.knowledge.mirror.revision,
-                WATCH_WAIT_MS,
-                WATCH_WAIT_MS + WATCH_SLACK_MS,
-            )
+            return await self.store.list_under('', LIST_TIMEOUT_MS)
+        return await self.store.watch(
+            '',
+            self.knowledge.mirror.revision,
+            WATCH_WAIT_MS,
+            WATCH_WAIT_MS + WATCH_SLACK_MS,
+        )
+
+    async def _once(self) -> float:
+        reply = await self._ask()
         match reply:
             case StoreUnanswered():
                 return self._unanswered(reply)
--- a/cowsliploom/platform/_documents.py
+++ b/cowsliploom/platform/_documents.py
@@ -136,13 +136,9 @@
         wire = msgspec.json.decode(text, type=_WireServer)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DocumentError(key, str(error)) from error
-    host, _, port = wire.address.rpartition(':')
-    if not (host and port.isdecimal() and wire.service):
-        raise DocumentError(key, f'no service or address: {wire.address!r}')
-    if wire.state not in set(ServerState):
-        raise DocumentError(key, f'unknown state {wire.state!r}')
-    if wire.slots < 1 or not math.isfinite(wire.cold_remaining_ms):
-        raise DocumentError(key, 'slots or cold time out of range')
+    problem = _server_problem(wire)
+    if problem:
+        raise DocumentError(key, problem)
     return ServerRecord(
         name=key.removeprefix(SERVER_PREFIX),
         service=wire.service,
@@ -151,12 +147,23 @@
         version=wire.version,
         slots=wire.slots,
         state=ServerState(wire.state),
-        cold_ms=max(0.0, wire.cold_remaining_ms),
+        cold_ms=max(0, wire.cold_remaining_ms),
         sequence=wire.sequence,
         born_ms=wire.born,
     )
 
 
+def _server_problem(wire: _WireServer) -> str:
+    host, _, port = wire.address.rpartition(':')
+    if not (host and port.isdecimal() and wire.service):
+        return f'no service or address: {wire.address!r}'
+    if wire.state not in set(ServerState):
+        return f'unknown state {wire.state!r}'
+    if wire.slots < 1 or not math.isfinite(wire.cold_remaining_ms):
+        return 'slots or cold time out of range'
+    return ''
+
+
 def evacuated_zones(keys: Iterable[str]) -> frozenset[str]:
     """Return the data centres that are to get nothing more."""
     return frozenset(
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -7,6 +7,7 @@
     BackendAnswer,
     CallerRequest,
     Gathered,
+    Headers,
     LoadReport,
     Outcome,
     TurnAway,
@@ -67,30 +68,16 @@
     arrived_ms : float
         When the last byte was read.
     """
-    request_id = ''
-    host = ''
-    patience_ms = PATIENCE_MAX_MS
-    own = _named_by_connection(headers)
-    passed = []
-    for name, header in headers:
-        key = name.lower()
-        if key == REQUEST_ID:
-            request_id = header
-        elif key == 'host':
-            host = header
-        elif key == PATIENCE:
-            patience_ms = _patience(header)
-        if key not in SET_ANEW and key not in own:
-            passed.append((name, header))
+    marks = {name.lower(): header for name, header in headers}
     return CallerRequest(
-        request_id,
+        marks.get(REQUEST_ID, ''),
         method,
-        host,
+        marks.get('host', ''),
         target,
-        tuple(passed),
+        _passed(headers, SET_ANEW),
         body,
         arrived_ms,
-        patience_ms,
+        _patience(marks.get(PATIENCE, '')),
     )
 
 
@@ -116,33 +103,17 @@
 
 def read_answer(answer: HttpAnswer) -> BackendAnswer:
     """Decode a backend server's answer."""
-    signature = ''
-    ran = answer.status != WRONG_SERVER
-    load = None
-    encoded = False
-    own = _named_by_connection(answer.headers)
-    passed = []
-    for name, header in answer.headers:
-        key = name.lower()
-        if key == SIGNATURE:
-            signature = header
-        elif key == NOT_RUN:
-            ran = False
-        elif key == LOAD:
-            load = _load(header)
-        elif key == ENCODED:
-            encoded = True
-        if key not in OF_CONNECTION and key not in own:
-            passed.append((name, header))
+    marks = {name.lower(): header for name, header in answer.headers}
+    wrong_server = answer.status == WRONG_SERVER
     return BackendAnswer(
         status=answer.status,
-        headers=tuple(passed),
+        headers=_passed(answer.headers, OF_CONNECTION),
         body=answer.body,
-        signature=signature,
-        ran=ran,
-        wrong_server=answer.status == WRONG_SERVER,
-        load=load,
-        is_encoded=encoded,
+        signature=marks.get(SIGNATURE, ''),
+        ran=not (wrong_server or NOT_RUN in marks),
+        wrong_server=wrong_server,
+        load=_load(marks.get(LOAD, '')),
+        is_encoded=ENCODED in marks,
     )
 
 
@@ -174,6 +145,12 @@
     return WireReply(status, headers, f'{turned.reason}\n'.encode())
 
 
+def _passed(headers: HeaderList, left_out: frozenset[str]) -> Headers:
+    """Return the headers that concern more than this connection."""
+    own = left_out | _named_by_connection(headers)
+    return tuple((name, header) for name, header in headers if name.lower() not in own)
+
+
 def _named_by_connection(headers: HeaderList) -> frozenset[str]:
     """Return the headers that ``Connection`` names as its own."""
     named = (
@@ -189,7 +166,7 @@
         patience_ms = float(header)
     except ValueError:
         return PATIENCE_MAX_MS
-    return min(max(patience_ms, 0.0), PATIENCE_MAX_MS)
+    return min(max(patience_ms, 0), PATIENCE_MAX_MS)
 
 
 def _load(header: str) -> LoadReport | None:
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -94,7 +94,7 @@
         items: list[MirrorItem] = []
         revision: int | None = None
         after = ''
-        for _page in range(PAGES_MAX):
+        for _ in range(PAGES_MAX):
             path = f'/v1/kv-range?prefix={quote(prefix, safe="")}'
             if after:
                 path = f'{path}&after={quote(after, safe="")}'
