Watch the store from one VM a zone, push news between peers, prefer near servers

Change: a member chosen by rendezvous watches; news goes at once to the members of the zone and one of each other zone; a VM that heard of no confirmation for 6.5 s watches by itself. A server elsewhere has to be 1.4 times as quick. Ruled out: two watchers a zone (on seven machines in four zones that is all of them).

--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -47,16 +47,22 @@
         Bounds of extra calls.
     seed : int
         Seed for ties and spreads.
+    data_centre : str
+        Where this entry VM stands.
     owns : callable
         Tells whether this entry VM owns a cold server.
     """
 
     def __init__(
-        self, budget_rules: BudgetRules, seed: int, owns: Callable[[str], bool]
+        self,
+        budget_rules: BudgetRules,
+        seed: int,
+        data_centre: str,
+        owns: Callable[[str], bool],
     ) -> None:
         self.budget_rules = budget_rules
         self.table = RouteTable()
-        self.fleet = Fleet(seed, owns)
+        self.fleet = Fleet(seed, data_centre, owns)
         self._random = random.Random(seed)
         self._call_ids = itertools.count(1)
         self._budgets: dict[str, ExtraBudget] = {}
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -7,6 +7,7 @@
 from cowsliploom.forwarding._servers import Server, ServerRecord
 
 CONNECTIONS_SHARE = 0.85  # the rest covers replaced and silent connections
+FAR_RATIO = 1.4  # a server elsewhere has to be this much quicker, as its bytes cost
 NOISE = 0.1  # keeps entry VMs from choosing alike
 COLD_GAP_MS = 500.0  # between two requests of a cold server's owner
 
@@ -43,11 +44,16 @@
     ----------
     seed : int
         Seed of the generator that breaks ties.
+    data_centre : str
+        Where this entry VM stands.
     owns : callable
         Tells whether this entry VM owns a server while it is cold.
     """
 
-    def __init__(self, seed: int, owns: Callable[[str], bool]) -> None:
+    def __init__(
+        self, seed: int, data_centre: str, owns: Callable[[str], bool]
+    ) -> None:
+        self.data_centre = data_centre
         self.owns = owns
         self.sharers = 1
         self.closed_data_centres: frozenset[str] = frozenset()
@@ -135,13 +141,13 @@
     ) -> Server | None:
         if len(servers) < 2:
             return servers[0] if servers else None
-        noise = self._random.uniform
-        return min(
-            servers,
-            key=lambda server: (
-                server.expected_ms(now_ms, usual_ms) * noise(1 - NOISE, 1 + NOISE)
-            ),
-        )
+        return min(servers, key=lambda server: self._cost(server, now_ms, usual_ms))
+
+    def _cost(self, server: Server, now_ms: float, usual_ms: float) -> float:
+        cost = server.expected_ms(now_ms, usual_ms)
+        if server.record.data_centre != self.data_centre:
+            cost *= FAR_RATIO
+        return cost * self._random.uniform(1 - NOISE, 1 + NOISE)
 
     def _choose_cold(self, servers: list[Server], now_ms: float) -> Server | None:
         """Return a cold server that this entry VM owns and hasn't just asked."""
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -53,13 +53,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         loop = asyncio.get_running_loop()
         self._loop = loop
-        self._desk = ForwardingDesk(self.settings.budget, self._seed, self._owns)
+        self._desk = ForwardingDesk(
+            self.settings.budget, self._seed, self.settings.data_centre, self._owns
+        )
         self._knowledge = Knowledge(self._desk, self.log)
         self._forwarder = Forwarder(self._desk, RequestLog(self.log, self.figures))
         self._store = PlatformStore(self.settings.store_address)
-        self._watch = StoreWatch(
-            self._store, self._knowledge, self.log, self._now_ms, self._seed
-        )
         own = Member(
             self.settings.name,
             self.settings.peers_address,
@@ -68,6 +67,9 @@
         )
         known = Acquaintances(own, self.settings.seeds, self._seed)
         self._peers = Peers(known, self._knowledge, self.log, self._now_ms)
+        self._watch = StoreWatch(
+            self._store, self._knowledge, self.log, self._peers, self._seed
+        )
         self._isolation = Isolation(
             self._desk, self._peers, self._store, self.log, self._now_ms
         )
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -64,18 +64,19 @@
         """Note that the store answers again after it didn't."""
         self._store_back_ms = now_ms
 
-    def take(self, batch: Batch, heard: Heard, now_ms: float) -> None:
-        """Take what the store or a peer told."""
+    def take(self, batch: Batch, heard: Heard, now_ms: float) -> bool:
+        """Take what the store or a peer told; tell whether it was news."""
         changed = self.mirror.take(batch)
         self.confirm(batch.revision, heard, now_ms)
         if not changed:
-            return
+            return False
         if platform.CONFIGURATION_KEY in changed:
             self._take_configuration(heard)
         self._take_zones()
         servers = [key for key in changed if key.startswith(platform.SERVER_PREFIX)]
         if servers:
             self._take_servers(servers, heard, now_ms)
+        return True
 
     def confirm(self, revision: int, heard: Heard, now_ms: float) -> None:
         """Note that a revision was the newest when the source heard it.
--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -10,8 +10,8 @@
 
     Parameters
     ----------
-    name : str
-        Sender.
+    name, address, data_centre : str
+        Sender, where it listens, and where it stands.
     revision : int
         The store's revision up to which the sender knows everything.
     age_ms : float
@@ -25,6 +25,8 @@
     """
 
     name: str
+    address: str
+    data_centre: str
     revision: int
     age_ms: float
     sightings: tuple[Sighting, ...]
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -4,7 +4,13 @@
 import random
 from collections.abc import Callable
 
-from cowsliploom.coordination import Acquaintances, Batch, rank_names
+from cowsliploom.coordination import (
+    Acquaintances,
+    Batch,
+    Member,
+    chosen_watchers,
+    rank_names,
+)
 from cowsliploom.dataplane import (
     CallResult,
     ConnectionPool,
@@ -25,7 +31,8 @@
 EXCHANGE_MS = 500.0
 EAGER_MS = 120.0  # while nobody is known, or the store is silent
 TIMEOUT_MS = 400.0
-STALE_MS = 6000.0  # the store's word is older than a watch takes: ask peers eagerly
+WATCHERS = 1  # of the store in each data centre; news cross between them
+STALE_MS = 6500.0  # the store's word is older than a watch takes: ask peers eagerly
 UNKNOWN_SHARERS = 12  # while nobody was heard: careful, as there may be many
 REACH_ASKED = 3
 PATH = '/peers'
@@ -62,6 +69,7 @@
         self._pools: dict[str, ConnectionPool] = {}
         self._live: frozenset[str] = frozenset()
         self._is_leaving = False
+        self._running: set[asyncio.Task[bool]] = set()
 
     async def run(self) -> None:
         """Exchange until cancelled."""
@@ -91,6 +99,42 @@
         )
         return any(answers)
 
+    def watches_store(self) -> bool:
+        """Tell whether this daemon watches the store for its data centre.
+
+        It also does while those that should haven't heard from the store for long.
+        """
+        now_ms = self.now_ms()
+        if self.knowledge.confirmed_age_ms(now_ms) > STALE_MS:
+            return True
+        own = self.known.own
+        live = self.known.live(now_ms)
+        return own.name in chosen_watchers(live, own.data_centre, WATCHERS)
+
+    def spread(self, from_near: bool) -> None:
+        """Tell others at once that there is news.
+
+        Parameters
+        ----------
+        from_near : bool
+            Whether a member of the own data centre told it, who tells the others.
+        """
+        if from_near:
+            return
+        by_place: dict[str, list[Member]] = {}
+        for member in self.known.live(self.now_ms())[1:]:
+            by_place.setdefault(member.data_centre, []).append(member)
+        for place, members in by_place.items():
+            if place != self.known.own.data_centre:
+                members = [self._random.choice(members)]
+            for member in members:
+                self._start_exchange(member.address)
+
+    def _start_exchange(self, address: str) -> None:
+        exchange = asyncio.get_running_loop().create_task(self._exchange(address))
+        self._running.add(exchange)
+        exchange.add_done_callback(self._running.discard)
+
     def owns(self, server: str) -> bool:
         """Tell whether this daemon is the one that may ask a cold server."""
         names = self.known.live_names(self.now_ms())
@@ -149,6 +193,8 @@
             request.answer(400, [], b'')
             return
         self._hear(message)
+        if message.revision > self.knowledge.mirror.revision:
+            self._start_exchange(message.address)
         batch = None
         mirror = self.knowledge.mirror
         if message.revision < mirror.revision:
@@ -160,6 +206,8 @@
         now_ms = self.now_ms()
         return PeerMessage(
             self.known.own.name,
+            self.known.own.address,
+            self.known.own.data_centre,
             self.knowledge.mirror.revision,
             self.knowledge.confirmed_age_ms(now_ms),
             () if self._is_leaving else self.known.sightings(now_ms),
@@ -177,5 +225,5 @@
         heard = Heard(message.name, message.age_ms)
         if message.batch is None:
             self.knowledge.confirm(message.revision, heard, now_ms)
-        else:
-            self.knowledge.take(message.batch, heard, now_ms)
+        elif self.knowledge.take(message.batch, heard, now_ms):
+            self.spread(message.data_centre == self.known.own.data_centre)
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from cowsliploom.coordination import Batch
 from cowsliploom.gateway._knowledge import Heard, Knowledge
 from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._peers import Peers
 from cowsliploom.platform import HistoryGone, PlatformStore, StoreUnanswered
 
 MS_PER_S = 1000
@@ -15,7 +15,8 @@
 LIST_TIMEOUT_MS = 1500.0
 BACKOFF_MIN_MS = 100.0
 BACKOFF_MAX_MS = 800.0  # a version is to be in force within seconds of the return
-PAUSE_MS = 150.0  # between two watches, so that events come in one answer
+IDLE_MS = 200.0  # between two looks whether this entry VM is to watch
+PAUSE_MS = 300.0  # between two watches, so that events come in one answer
 
 
 class StoreWatch:
@@ -29,8 +30,8 @@
         Where what is heard goes.
     log : LineLog
         Log of the lost and regained store.
-    now_ms : callable
-        Steady clock.
+    peers : Peers
+        Tell whether this entry VM watches, and spread the news.
     seed : int
         Seed that spreads retries.
     """
@@ -40,13 +41,13 @@
         store: PlatformStore,
         knowledge: Knowledge,
         log: LineLog,
-        now_ms: Callable[[], float],
+        peers: Peers,
         seed: int,
     ) -> None:
         self.store = store
         self.knowledge = knowledge
         self.log = log
-        self.now_ms = now_ms
+        self.peers = peers
         self.answers_since_ms: float | None = None
         self._random = random.Random(seed)
         self._failures = 0
@@ -55,7 +56,9 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            pause_ms = await self._once()
+            pause_ms = IDLE_MS
+            if self.peers.watches_store():
+                pause_ms = await self._once()
             await asyncio.sleep(pause_ms / MS_PER_S)
 
     async def _ask(self) -> Batch | HistoryGone | StoreUnanswered:
@@ -79,11 +82,12 @@
                 return 0
         self._answered()
         self._lists_next = False
-        self.knowledge.take(reply, Heard('store'), self.now_ms())
+        if self.knowledge.take(reply, Heard('store'), self.peers.now_ms()):
+            self.peers.spread(from_near=False)
         return PAUSE_MS
 
     def _answered(self) -> None:
-        now_ms = self.now_ms()
+        now_ms = self.peers.now_ms()
         if self.answers_since_ms is None:
             self.answers_since_ms = now_ms
             if self._failures:
