Give members, rendezvous and the mirror a package that imports little

Cause: the gateway imported all of coordination for four names; half of its 0.5 s of imports on a busy machine (importtime), which counts after each kill and restart. Ruled out: lazy imports in coordination's own package (they hide the names from mypy).

--- a/cowsliploom/coordination/__init__.py
+++ b/cowsliploom/coordination/__init__.py
@@ -28,10 +28,10 @@
 from cowsliploom.coordination._dissemination import FetchAnswer as FetchAnswer
 from cowsliploom.coordination._dissemination import FetchAsk as FetchAsk
 from cowsliploom.coordination._applied import AppliedMask as AppliedMask
-from cowsliploom.coordination._members import Member as Member
-from cowsliploom.coordination._members import MemberState as MemberState
-from cowsliploom.coordination._members import MemberStatus as MemberStatus
-from cowsliploom.coordination._members import MemberUpdate as MemberUpdate
+from cowsliploom.members import Member as Member
+from cowsliploom.members import MemberState as MemberState
+from cowsliploom.members import MemberStatus as MemberStatus
+from cowsliploom.members import MemberUpdate as MemberUpdate
 from cowsliploom.coordination._membership import Membership as Membership
 from cowsliploom.coordination._messages import AnswerPeer as AnswerPeer
 from cowsliploom.coordination._messages import CallPeer as CallPeer
@@ -81,17 +81,11 @@
 from cowsliploom.coordination._leases import LeaseWanted as LeaseWanted
 from cowsliploom.coordination._store_watch import StoreWatchPlan as StoreWatchPlan
 from cowsliploom.coordination._store_watch import WatchStore as WatchStore
-from cowsliploom.coordination._rendezvous import chosen_watchers as chosen_watchers
-from cowsliploom.coordination._rendezvous import rank_names as rank_names
+from cowsliploom.members import chosen_watchers as chosen_watchers
+from cowsliploom.members import rank_names as rank_names
 from cowsliploom.coordination._settings import (
     MembershipSettings as MembershipSettings,
 )
 from cowsliploom.coordination._settings import (
     check_membership_settings as check_membership_settings,
 )
-from cowsliploom.coordination._mirror import Batch as Batch
-from cowsliploom.coordination._mirror import MirrorItem as MirrorItem
-from cowsliploom.coordination._mirror import Removal as Removal
-from cowsliploom.coordination._mirror import StoreMirror as StoreMirror
-from cowsliploom.coordination._acquaintances import Acquaintances as Acquaintances
-from cowsliploom.coordination._acquaintances import Sighting as Sighting
--- a/cowsliploom/coordination/_applied.py
+++ b/cowsliploom/coordination/_applied.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from cowsliploom.coordination._members import MemberUpdate
+from cowsliploom.members import MemberUpdate
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliploom/coordination/_calls.py
+++ b/cowsliploom/coordination/_calls.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from cowsliploom.coordination._members import Member
+from cowsliploom.members import Member
 
 
 class CallPurpose(Enum):
--- a/cowsliploom/coordination/_exchanger.py
+++ b/cowsliploom/coordination/_exchanger.py
@@ -5,7 +5,7 @@
 
 from cowsliploom.coordination._calls import CallPurpose
 from cowsliploom.coordination._local_member import Commands, LocalMember
-from cowsliploom.coordination._members import Member, MemberState
+from cowsliploom.members import Member, MemberState
 from cowsliploom.coordination._messages import DataCentreAge, Frame, FrameKind
 
 SYNC_INTERVAL_MS = 1000  # a sync is large; views differ for a moment after each change
--- a/cowsliploom/coordination/_local_member.py
+++ b/cowsliploom/coordination/_local_member.py
@@ -5,7 +5,7 @@
 
 from cowsliploom.coordination._applied import newest_mask
 from cowsliploom.coordination._calls import CallPurpose, OpenCall, OpenCalls
-from cowsliploom.coordination._members import Member, MemberState, MemberUpdate
+from cowsliploom.members import Member, MemberState, MemberUpdate
 from cowsliploom.coordination._messages import (
     CallPeer,
     ClaimedDead,
--- a/cowsliploom/coordination/_membership.py
+++ b/cowsliploom/coordination/_membership.py
@@ -2,7 +2,7 @@
 
 from cowsliploom.coordination._exchanger import Exchanger
 from cowsliploom.coordination._local_member import Commands, LocalMember
-from cowsliploom.coordination._members import Member, MemberState, MemberUpdate
+from cowsliploom.members import Member, MemberState, MemberUpdate
 from cowsliploom.coordination._messages import (
     AnswerPeer,
     ContactMade,
--- a/cowsliploom/coordination/_messages.py
+++ b/cowsliploom/coordination/_messages.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 
 from cowsliploom.coordination._applied import AppliedMask
-from cowsliploom.coordination._members import Member, MemberUpdate
+from cowsliploom.members import Member, MemberUpdate
 
 
 class FrameKind(IntEnum):
--- a/cowsliploom/coordination/_node.py
+++ b/cowsliploom/coordination/_node.py
@@ -10,7 +10,7 @@
     FetchAnswer,
     FetchAsk,
 )
-from cowsliploom.coordination._members import Member, MemberStatus
+from cowsliploom.members import Member, MemberStatus
 from cowsliploom.coordination._membership import Membership
 from cowsliploom.coordination._messages import (
     AnswerPeer,
--- a/cowsliploom/coordination/_ownership.py
+++ b/cowsliploom/coordination/_ownership.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 
 from cowsliploom.coordination._messages import MembersChanged
-from cowsliploom.coordination._rendezvous import rendezvous_score
+from cowsliploom.members import rendezvous_score
 from cowsliploom.coordination._settings import MembershipSettings
 
 
--- a/cowsliploom/coordination/_prober.py
+++ b/cowsliploom/coordination/_prober.py
@@ -4,7 +4,7 @@
 
 from cowsliploom.coordination._calls import CallPurpose, OpenCall
 from cowsliploom.coordination._local_member import Commands, LocalMember
-from cowsliploom.coordination._members import Member, MemberState
+from cowsliploom.members import Member, MemberState
 from cowsliploom.coordination._messages import AnswerPeer, Frame, FrameKind
 
 HELPERS = 3  # two helpers may be frozen while the third tells the truth
--- a/cowsliploom/coordination/_store_watch.py
+++ b/cowsliploom/coordination/_store_watch.py
@@ -3,8 +3,8 @@
 import random
 from dataclasses import dataclass
 
-from cowsliploom.coordination._members import Member
-from cowsliploom.coordination._rendezvous import chosen_watchers
+from cowsliploom.members import Member
+from cowsliploom.members import chosen_watchers
 
 WATCH_WAIT_MS = 10_000  # each wait is one counted call
 POLL_INTERVAL_MS = 60_000  # of a whole data centre's other members together: 8 polls
--- a/cowsliploom/coordination/_timers.py
+++ b/cowsliploom/coordination/_timers.py
@@ -1,6 +1,6 @@
 """Times at which a member's state changes unless something is heard."""
 
-from cowsliploom.coordination._members import MemberState, MemberUpdate
+from cowsliploom.members import MemberState, MemberUpdate
 from cowsliploom.coordination._settings import MembershipSettings
 
 
--- a/cowsliploom/coordination/_view.py
+++ b/cowsliploom/coordination/_view.py
@@ -7,8 +7,8 @@
     newest_mask,
     raise_applied,
 )
-from cowsliploom.coordination._members import Member, MemberUpdate, merge_updates
-from cowsliploom.coordination._rendezvous import rank_names
+from cowsliploom.members import Member, MemberUpdate, merge_updates
+from cowsliploom.members import rank_names
 
 CONTACT_JOB = 'contact'
 RING_SIZE = 1 << 64  # places on a ring are 64-bit hashes
--- a/cowsliploom/coordination/tests/test_examples.py
+++ b/cowsliploom/coordination/tests/test_examples.py
@@ -15,8 +15,15 @@
     'coordination._node',
     'coordination._ownership',
     'coordination._piggyback',
-    'coordination._rendezvous',
+    'members._acquaintances',
+    'members._mirror',
+    'members._rendezvous',
     'coordination._store_watch',
+    'forwarding._budget',
+    'forwarding._fleet',
+    'forwarding._latency',
+    'forwarding._records',
+    'forwarding._routes',
     'daemons._peer_task',
 )
 
--- a/cowsliploom/coordination/tests/test_ownership.py
+++ b/cowsliploom/coordination/tests/test_ownership.py
@@ -12,7 +12,7 @@
     Ownership,
     rank_names,
 )
-from cowsliploom.coordination._rendezvous import rendezvous_score
+from cowsliploom.members import rendezvous_score
 from cowsliploom.coordination.tests.fleet_loop import FleetLoop, start_fleet
 from cowsliploom.coordination.tests.ownership_judge import OwnershipJudge
 
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from cowsliploom.coordination import Acquaintances, Member
+from cowsliploom.members import Acquaintances, Member
 from cowsliploom.dataplane import HttpListener, HttpRequest, ServerLimits
 from cowsliploom.forwarding import ForwardingDesk
 from cowsliploom.gateway._figures import Figures
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cowsliploom import platform
-from cowsliploom.coordination import Batch, StoreMirror
+from cowsliploom.members import Batch, StoreMirror
 from cowsliploom.forwarding import ForwardingDesk, ServerRecord
 from cowsliploom.gateway._line_log import LineLog
 
--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cowsliploom.coordination import Batch, Sighting
+from cowsliploom.members import Batch, Sighting
 
 
 class PeerMessage(msgspec.Struct, frozen=True):
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from cowsliploom.coordination import (
+from cowsliploom.members import (
     Acquaintances,
     Batch,
     Member,
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from cowsliploom.coordination import Batch
+from cowsliploom.members import Batch
 from cowsliploom.gateway._knowledge import Heard, Knowledge
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._peers import Peers
--- /dev/null
+++ b/cowsliploom/members/__init__.py
@@ -0,0 +1,19 @@
+"""Who the members of the fleet are, who does which job, and what they tell."""
+
+from cowsliploom.members._acquaintances import Acquaintances as Acquaintances
+from cowsliploom.members._acquaintances import Sighting as Sighting
+from cowsliploom.members._members import Member as Member
+from cowsliploom.members._members import MemberState as MemberState
+from cowsliploom.members._members import MemberStatus as MemberStatus
+from cowsliploom.members._members import MemberUpdate as MemberUpdate
+from cowsliploom.members._members import merge_updates as merge_updates
+from cowsliploom.members._mirror import Batch as Batch
+from cowsliploom.members._mirror import MirrorItem as MirrorItem
+from cowsliploom.members._mirror import Removal as Removal
+from cowsliploom.members._mirror import StoreMirror as StoreMirror
+from cowsliploom.members._rendezvous import (
+    WATCHERS_PER_DATA_CENTRE as WATCHERS_PER_DATA_CENTRE,
+)
+from cowsliploom.members._rendezvous import chosen_watchers as chosen_watchers
+from cowsliploom.members._rendezvous import rank_names as rank_names
+from cowsliploom.members._rendezvous import rendezvous_score as rendezvous_score
--- a/cowsliploom/coordination/_acquaintances.py
+++ b/cowsliploom/members/_acquaintances.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from cowsliploom.coordination._members import Member
+from cowsliploom.members._members import Member
 
 LIVE_MS = 4000.0  # silence after which a member no longer counts
 FORGET_MS = 20_000.0  # silence after which nobody speaks of a member any more
--- a/cowsliploom/coordination/_rendezvous.py
+++ b/cowsliploom/members/_rendezvous.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from cowsliploom.coordination._members import Member
+from cowsliploom.members._members import Member
 
 WATCHERS_PER_DATA_CENTRE = 2  # one may be frozen or gone
 
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cowsliploom.coordination import Batch, MirrorItem, Removal
+from cowsliploom.members import Batch, MirrorItem, Removal
 from cowsliploom.dataplane import CallResult, ConnectionPool, HttpAnswer, HttpCall
 
 MS_PER_S = 1000
