Ask servers elsewhere only if they are twice as quick; log beliefs on servers

Cause: bytes between zones were still the highest price that can be lowered, and the log didn't say when a server came to rest and why.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -34,5 +34,6 @@
 from cowsliploom.forwarding._routes import WeightedService as WeightedService
 from cowsliploom.forwarding._servers import LoadReport as LoadReport
 from cowsliploom.forwarding._servers import Server as Server
+from cowsliploom.forwarding._servers import ServerBelief as ServerBelief
 from cowsliploom.forwarding._servers import ServerRecord as ServerRecord
 from cowsliploom.forwarding._servers import ServerState as ServerState
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -4,10 +4,15 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from cowsliploom.forwarding._servers import Server, ServerRecord
+from cowsliploom.forwarding._servers import (
+    Server,
+    ServerBelief,
+    ServerRecord,
+    keep_silent,
+)
 
 CONNECTIONS_SHARE = 0.85  # the rest covers replaced and silent connections
-FAR_RATIO = 1.4  # a server elsewhere has to be this much quicker, as its bytes cost
+FAR_RATIO = 2.0  # a server elsewhere has to be this much quicker, as its bytes cost
 NOISE = 0.1  # keeps entry VMs from choosing alike
 COLD_GAP_MS = 500.0  # between two requests of a cold server's owner
 
@@ -54,6 +59,7 @@
         self, seed: int, data_centre: str, owns: Callable[[str], bool]
     ) -> None:
         self.data_centre = data_centre
+        self.tell: Callable[[ServerBelief], None] = keep_silent
         self.owns = owns
         self.sharers = 1
         self.closed_data_centres: frozenset[str] = frozenset()
@@ -158,6 +164,9 @@
                 return server
         return None
 
+    def _tell(self, belief: ServerBelief) -> None:
+        self.tell(belief)
+
     def _take(self, record: ServerRecord, now_ms: float) -> ServerChange | None:
         known = self._servers.get(record.name)
         if known is not None and not _is_reborn(known.record, record):
@@ -170,7 +179,7 @@
             return ServerChange(record.name, record.state, record.service)
         if known is not None:
             self._remove(record.name)
-        server = Server(record, now_ms)
+        server = Server(record, now_ms, self._tell)
         self._servers[record.name] = server
         self._by_service.setdefault(record.service, []).append(server)
         return ServerChange(record.name, 'new', record.service)
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -1,5 +1,6 @@
 """What one entry VM knows of one backend server."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -66,6 +67,36 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerBelief:
+    """Tell that what is believed of a server has changed, and from what.
+
+    Parameters
+    ----------
+    server, service : str
+        Which server, and what it serves.
+    belief : str
+        What is believed now.
+    failures : int
+        Calls in a row that failed.
+    mean_ms : float
+        Mean time of its answers.
+    for_ms : float
+        How long the belief holds without news; 0 for as long as there is none.
+    """
+
+    server: str
+    service: str
+    belief: str
+    failures: int = 0
+    mean_ms: float = 0
+    for_ms: float = 0
+
+
+def keep_silent(belief: ServerBelief) -> None:
+    """Tell nobody of a changed belief."""
+
+
 class Server:
     """Track one incarnation of a backend server: its calls and how they went.
 
@@ -75,10 +106,18 @@
         Latest registration.
     now_ms : float
         When it was heard.
+    tell : callable
+        Hears of changed beliefs.
     """
 
-    def __init__(self, record: ServerRecord, now_ms: float) -> None:
+    def __init__(
+        self,
+        record: ServerRecord,
+        now_ms: float,
+        tell: Callable[[ServerBelief], None] = keep_silent,
+    ) -> None:
         self.record = record
+        self._tell = tell
         self.cold_until_ms = now_ms + record.cold_ms
         self.open_calls: dict[int, float] = {}
         self.mean_ms: float = 0
@@ -149,8 +188,10 @@
 
     def succeeded(self, elapsed_ms: float) -> None:
         """Learn from a good answer."""
+        if self.rests_until_ms:
+            self.rests_until_ms = 0
+            self._tell(self._belief('answers again', 0))
         self.failures = 0
-        self.rests_until_ms = 0
         self.error_share *= 1 - ERROR_SHARE
         self.shed_share *= 1 - ERROR_SHARE
         if self.mean_ms:
@@ -180,7 +221,9 @@
     def rest(self, now_ms: float) -> None:
         """Keep requests off for a while."""
         rest_ms = RESTED_MIN_MS * 2 ** min(self.failures - 1, 8)
-        self.rests_until_ms = now_ms + min(rest_ms, RESTED_MAX_MS)
+        rest_ms = min(rest_ms, RESTED_MAX_MS)
+        self.rests_until_ms = now_ms + rest_ms
+        self._tell(self._belief('rests', rest_ms))
 
     def oldest_wait_ms(self, now_ms: float) -> float:
         """Return how long the oldest open call has been waiting."""
@@ -218,6 +261,16 @@
         trouble = (self.error_share + self.shed_share) * self._freshness(now_ms)
         return expected_ms * (1 + 4 * trouble)
 
+    def _belief(self, belief: str, for_ms: float) -> ServerBelief:
+        return ServerBelief(
+            self.name,
+            self.record.service,
+            belief,
+            self.failures,
+            round(self.mean_ms, 1),
+            for_ms,
+        )
+
     def _freshness(self, now_ms: float) -> float:
         """Return how much what was learnt still counts, from 1 to 0."""
         return max(0, 1 - (now_ms - self.heard_ms) / MEMORY_MS)
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -4,7 +4,7 @@
 
 from cowsliploom import platform
 from cowsliploom.members import Batch, StoreMirror
-from cowsliploom.forwarding import ForwardingDesk, ServerRecord
+from cowsliploom.forwarding import ForwardingDesk, ServerBelief, ServerRecord
 from cowsliploom.gateway._line_log import LineLog
 
 LAPSE_HOLD_MS = 2300.0  # live servers are back this long after the store's return
@@ -48,6 +48,7 @@
         self._records: dict[str, ServerRecord] = {}
         self._held: dict[str, float] = {}
         self._store_back_ms = float('-inf')
+        desk.fleet.tell = self._note_belief
 
     @property
     def is_ready(self) -> bool:
@@ -148,6 +149,17 @@
         after_outage_ms = self._store_back_ms + LAPSE_HOLD_MS
         return max(after_outage_ms, now_ms + LAPSE_HOLD_MS if lapsed else 0)
 
+    def _note_belief(self, belief: ServerBelief) -> None:
+        self.log.write(
+            'server',
+            belief.belief,
+            server=belief.server,
+            service=belief.service,
+            failures=belief.failures,
+            mean_ms=belief.mean_ms,
+            for_ms=belief.for_ms,
+        )
+
     def _update_fleet(self, heard: Heard, now_ms: float) -> None:
         for change in self.desk.fleet.update(self._records.values(), now_ms):
             self.log.write(
