--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -224,6 +224,8 @@
             if now_ms >= self.due_ms:
                 yield from self._give_up_calls(now_ms)
             return
+        if self._verdict.conclude(now_ms) is not None:
+            return  # no call is sent just before the answer
         for work in self.works:
             if work.is_open and self._pace.is_due(work, now_ms):
                 work.waits_until_ms = None
--- /dev/null
+++ b/cowsliploom/gateway/tests/test_knowledge.py
@@ -0,0 +1,178 @@
+"""What the store and the peers tell is taken whole, upwards, and with its age."""
+
+import asyncio
+import json
+import os
+
+import msgspec
+import pytest
+
+from cowsliploom.forwarding import BudgetRules, ForwardingDesk
+from cowsliploom.gateway._knowledge import Heard, Knowledge
+from cowsliploom.gateway._line_log import BUFFER_BYTES_MAX, LineLog
+from cowsliploom.gateway._peer_wire import PeerMessage, decode_message, encode_message
+from cowsliploom.members import Batch, Member, MirrorItem, Removal, Sighting
+
+STORE = Heard('store')
+PEER = Heard('peer', age_ms=400)
+
+
+class Notes:
+    """Stand in for the log and keep what was written."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, part, event, **fields):
+        """Note a line."""
+        self.lines.append((part, event, fields))
+
+
+def make_knowledge():
+    """Return knowledge with a desk of its own."""
+    desk = ForwardingDesk(BudgetRules(0.2, 10, 1000), 1, 'de', lambda server: True)
+    return Knowledge(desk, Notes())
+
+
+def configuration(version, revision):
+    """Return an operator's configuration as the store holds it."""
+    route = {'host': 'h', 'prefix': '/', 'kind': 'safe', 'service': 's'}
+    text = msgspec.json.encode({'version': version, 'routes': [route]})
+    return MirrorItem('op/config', text, revision)
+
+
+def server(name, revision, **changes):
+    """Return a registration as the store holds it."""
+    fields = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'de',
+        'version': 'v1',
+        'slots': 2,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'sequence': 1,
+        **changes,
+    }
+    return MirrorItem(f'servers/{name}', msgspec.json.encode(fields), revision)
+
+
+def test_a_peer_that_knows_more_confirms_nothing_here():
+    """A peer's higher revision without its content hid a version for nine seconds."""
+    knowledge = make_knowledge()
+    knowledge.take(Batch(5, (configuration(1, 5),)), STORE, 0)
+    knowledge.confirm(9, PEER, 1000)
+    assert knowledge.mirror.revision == 5
+    assert knowledge.confirmed_age_ms(1000) == 1000
+    assert knowledge.take(Batch(9, (configuration(2, 9),)), STORE, 1100)
+    assert knowledge.desk.table.version == 2
+
+
+def test_a_peer_that_knows_as_much_confirms_with_its_age():
+    knowledge = make_knowledge()
+    knowledge.take(Batch(5, (configuration(1, 5),)), STORE, 0)
+    knowledge.confirm(5, PEER, 1000)
+    assert knowledge.confirmed_age_ms(1000) == 400
+
+
+def test_versions_only_go_up():
+    knowledge = make_knowledge()
+    knowledge.take(Batch(5, (configuration(7, 5),)), STORE, 0)
+    knowledge.take(Batch(6, (configuration(4, 6),)), STORE, 0)
+    assert knowledge.desk.table.version == 7
+
+
+def test_a_configuration_that_cannot_be_read_changes_nothing():
+    knowledge = make_knowledge()
+    knowledge.take(Batch(5, (configuration(7, 5),)), STORE, 0)
+    broken = MirrorItem('op/config', b'{"version": 8', 6)
+    knowledge.take(Batch(6, (broken,)), STORE, 0)
+    assert knowledge.desk.table.version == 7
+    assert ('configuration', 'unreadable') in [line[:2] for line in knowledge.log.lines]
+
+
+def test_an_entry_of_another_writer_harms_no_other():
+    knowledge = make_knowledge()
+    bad = MirrorItem('servers/bad', b'\xff\x00', 6)
+    knowledge.take(Batch(6, (server('good', 5), bad)), STORE, 0)
+    fleet = knowledge.desk.fleet
+    assert [each.name for each in fleet.serving('s')] == ['good']
+
+
+def test_a_server_that_drains_or_is_gone_gets_nothing_more():
+    knowledge = make_knowledge()
+    knowledge.take(Batch(6, (server('a', 5), server('b', 6))), STORE, 0)
+    knowledge.take(Batch(7, (server('a', 7, state='draining'),)), STORE, 10)
+    knowledge.take(Batch(8, (), (Removal('servers/b', 8),)), STORE, 20)
+    assert not knowledge.desk.fleet.has_usable('s', ())
+
+
+def test_entries_that_lapsed_in_an_outage_hold_until_they_may_be_back():
+    knowledge = make_knowledge()
+    knowledge.take(Batch(6, (server('a', 5), server('b', 6))), STORE, 0)
+    knowledge.store_returned(10_000)
+    removals = (Removal('servers/a', 7), Removal('servers/b', 8))
+    knowledge.take(Batch(8, (), removals), STORE, 10_000)
+    knowledge.release_held(12_000)
+    assert len(knowledge.desk.fleet) == 2
+    knowledge.take(Batch(9, (server('a', 9),)), STORE, 12_100)
+    knowledge.release_held(12_400)
+    assert [each.name for each in knowledge.desk.fleet.serving('s')] == ['a']
+
+
+def test_many_entries_that_go_at_once_are_held_as_lapsed():
+    knowledge = make_knowledge()
+    names = [f'n{number}' for number in range(8)]
+    items = tuple(server(name, 5 + at) for at, name in enumerate(names))
+    knowledge.take(Batch(12, items), STORE, 0)
+    gone = tuple(Removal(item.key, 13) for item in items[:6])
+    knowledge.take(Batch(13, (), gone), STORE, 100)
+    assert len(knowledge.desk.fleet) == 8
+    knowledge.release_held(2500)
+    assert len(knowledge.desk.fleet) == 2
+
+
+@pytest.mark.parametrize('adds', [True, False])
+def test_evacuations_begin_and_end_with_their_key(adds):
+    knowledge = make_knowledge()
+    knowledge.take(Batch(5, (MirrorItem('op/evacuate/de', b'{}', 5),)), STORE, 0)
+    if not adds:
+        knowledge.take(Batch(6, (), (Removal('op/evacuate/de', 6),)), STORE, 0)
+    assert (knowledge.desk.fleet.closed_data_centres == {'de'}) is adds
+
+
+def test_messages_between_peers_survive_the_wire():
+    batch = Batch(9, (MirrorItem('k', b'\x00\xff', 9),), (Removal('l', 8),))
+    seen = (Sighting(Member('a', '10.0.0.1:1', 'de', 3), 12.5),)
+    message = PeerMessage('a', '10.0.0.1:1', 'de', 9, 20.0, seen, batch)
+    assert decode_message(encode_message(message)) == message
+
+
+@pytest.mark.parametrize('text', [b'', b'{}', b'[1]', b'\xff', b'{"name": 3}'])
+def test_a_message_that_cannot_be_read_is_passed_over(text):
+    assert decode_message(text) is None
+
+
+def test_lines_that_nobody_reads_are_counted_and_never_block():
+    reading, writing = os.pipe()
+
+    os.set_blocking(reading, False)
+
+    async def play():
+        log = LineLog(writing)
+        log.start()
+        for number in range(50_000):
+            log.write('test', 'line', number=number, padding='x' * 200)
+        heard = b''
+        while b'lines lost' not in heard:
+            await asyncio.sleep(0.06)
+            heard += os.read(reading, BUFFER_BYTES_MAX)
+        return heard
+
+    heard = asyncio.run(asyncio.wait_for(play(), 10))
+    lines = [json.loads(line) for line in heard.splitlines() if line.endswith(b'}')]
+    assert lines[0]['event'] == 'line'
+    (told,) = (line for line in lines if line['event'] == 'lines lost')
+    assert told['lines'] + len(lines) - 1 == 50_000
+    os.close(reading)
+    os.close(writing)
--- /dev/null
+++ b/cowsliploom/members/tests/test_members.py
@@ -0,0 +1,143 @@
+"""Members find each other, and mirrors agree whatever way the news takes."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cowsliploom.members import (
+    Acquaintances,
+    Batch,
+    Member,
+    MirrorItem,
+    Removal,
+    Sighting,
+    StoreMirror,
+)
+
+OWN = Member('own', '10.0.0.1:1', 'de', 5)
+NEAR = Member('near', '10.0.0.2:1', 'de', 5)
+FAR = Member('far', '10.0.1.1:1', 'gogledd', 5)
+KEYS = ('a', 'b', 'c')
+CHANGES = st.lists(
+    st.tuples(st.sampled_from(KEYS), st.booleans()), min_size=1, max_size=12
+)
+
+
+def play_store(changes):
+    """Return the store's history and what it holds in the end."""
+    held, history = {}, []
+    for revision, (key, removes) in enumerate(changes, start=1):
+        if removes:
+            held.pop(key, None)
+            history.append(Removal(key, revision))
+        else:
+            held[key] = MirrorItem(key, f'{revision}'.encode(), revision)
+            history.append(held[key])
+    return history, held
+
+
+def batch_of(events, revision):
+    """Return a batch of what the store did."""
+    return Batch(
+        revision,
+        tuple(event for event in events if isinstance(event, MirrorItem)),
+        tuple(event for event in events if isinstance(event, Removal)),
+    )
+
+
+@given(CHANGES, st.randoms(use_true_random=False))
+def test_batches_in_any_order_and_twice_give_the_stores_content(changes, generator):
+    history, held = play_store(changes)
+    batches = [batch_of([event], event.revision) for event in history] * 2
+    generator.shuffle(batches)
+    mirror = StoreMirror()
+    for batch in batches:
+        mirror.take(batch)
+    assert {item.key: item for item in mirror.under('')} == held
+
+
+@given(CHANGES, st.integers(0, 12), st.integers(0, 12))
+def test_a_peer_that_asks_since_its_revision_catches_up(changes, start, middle):
+    history, held = play_store(changes)
+    known = min(start, len(history))
+    teller, learner = StoreMirror(), StoreMirror()
+    teller.take(batch_of(history, len(history)))
+    learner.take(batch_of(history[:known], known))
+    learner.take(teller.since(learner.revision))
+    assert {item.key: item for item in learner.under('')} == held
+    assert learner.revision == teller.revision
+
+
+@given(CHANGES, st.integers(0, 12))
+def test_a_whole_listing_removes_what_is_gone_and_keeps_what_is_newer(changes, cut):
+    history, held = play_store(changes)
+    seen = min(cut, len(history))
+    _, held_then = play_store(changes[:seen])
+    mirror = StoreMirror()
+    mirror.take(batch_of(history, len(history)))
+    mirror.take(Batch(seen, tuple(held_then.values()), is_whole=True))
+    assert {item.key: item for item in mirror.under('')} == held
+
+
+def test_removals_that_are_too_old_are_told_by_a_whole_batch():
+    mirror = StoreMirror()
+    for revision in range(1, 3000):
+        mirror.take(Batch(revision, (), (Removal(f'k{revision}', revision),)))
+    assert mirror.since(5).is_whole
+    assert not mirror.since(2990).is_whole
+
+
+def test_a_member_counts_until_it_has_been_silent_for_long():
+    known = Acquaintances(OWN, (), 1)
+    known.hear((Sighting(NEAR, 500),), 1000)
+    assert known.live_names(4000) == ('own', 'near')
+    assert known.live_names(5000) == ('own',)
+    assert known.remembered() == [NEAR]
+    assert [seen.member for seen in known.sightings(30_000)] == [OWN]
+
+
+def test_an_older_incarnation_is_not_believed():
+    known = Acquaintances(OWN, (), 1)
+    known.hear((Sighting(NEAR, 0),), 0)
+    older = Member('near', '10.0.9.9:1', 'de', 4)
+    known.hear((Sighting(older, 0),), 10)
+    assert known.remembered() == [NEAR]
+
+
+def test_who_leaves_no_longer_counts():
+    known = Acquaintances(OWN, (), 1)
+    known.hear((Sighting(NEAR, 0), Sighting(FAR, 0)), 0)
+    known.left('near')
+    assert known.live_names(0) == ('own', 'far')
+
+
+@pytest.mark.parametrize('seeds', [(), ('10.0.0.1:1',)])
+def test_without_anybody_to_ask_there_is_no_partner(seeds):
+    assert Acquaintances(OWN, seeds, 1).partner(0) is None
+
+
+def test_partners_are_mostly_near_and_sometimes_far_or_a_seed():
+    known = Acquaintances(OWN, ('10.9.9.9:1',), 1)
+    known.hear((Sighting(NEAR, 0), Sighting(FAR, 0)), 0)
+    asked = [known.partner(0) for _ in range(400)]
+    assert asked.count(NEAR.address) > asked.count(FAR.address)
+    assert asked.count(FAR.address)
+    assert asked.count('10.9.9.9:1') > 0
+
+
+def test_fleet_of_strangers_meets_through_one_seed():
+    fleet = [Member(f'm{number}', f'10.0.0.{number}:1', 'de') for number in range(20)]
+    known = [
+        Acquaintances(member, (fleet[0].address,), number)
+        for number, member in enumerate(fleet)
+    ]
+    by_address = {member.address: other for member, other in zip(fleet, known)}
+    generator = random.Random(4)
+    for now_ms in range(0, 6000, 500):
+        for asker in generator.sample(known, len(known)):
+            partner = by_address[asker.partner(now_ms) or fleet[0].address]
+            partner.hear(asker.sightings(now_ms), now_ms)
+            asker.hear(partner.sightings(now_ms), now_ms)
+    assert all(len(each.live(6000)) == len(fleet) for each in known)
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -1,5 +1,6 @@
 """Headers on the platform's wire, for callers and for backend servers."""
 
+import math
 from dataclasses import dataclass
 
 from cowsliploom.dataplane import HeaderList, HttpAnswer
@@ -166,6 +167,8 @@
         patience_ms = float(header)
     except ValueError:
         return PATIENCE_MAX_MS
+    if math.isnan(patience_ms):
+        return PATIENCE_MAX_MS
     return min(max(patience_ms, 0), PATIENCE_MAX_MS)
 
 
--- /dev/null
+++ b/cowsliploom/platform/tests/test_documents.py
@@ -0,0 +1,284 @@
+"""The platform's documents, settings and headers are decoded once, and checked."""
+
+from functools import partial
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cowsliploom.dataplane import HttpAnswer
+from cowsliploom.forwarding import (
+    Gather,
+    Gathered,
+    LoadReport,
+    Outcome,
+    ServerState,
+    TurnAway,
+    WeightedService,
+)
+from cowsliploom.platform import (
+    DocumentError,
+    SettingsError,
+    decode_configuration,
+    decode_server,
+    evacuated_zones,
+    is_answer_to,
+    read_answer,
+    read_request,
+    render_call,
+    render_gathered,
+    render_turned_away,
+)
+from cowsliploom.platform._settings import parse_settings
+
+SERVER = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'de',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'coldRemainingMs': 250,
+    'sequence': 4,
+    'born': 1700,
+}
+ROUTE = {
+    'name': 'r',
+    'host': 'h',
+    'prefix': '/p/',
+    'kind': 'unsafe',
+    'timeoutMs': 800,
+    'targetLatencyMs': 56,
+    'priority': 2,
+    'service': 's',
+    'maxAttempts': 2,
+}
+SETTINGS = """node=front-1
+zone=de
+listen.front=10.1.0.9:8104
+listen.ready=10.1.0.9:8108
+listen.control=10.1.0.9:8106
+seeds=10.1.0.9:8106,10.2.0.21:8106
+platform.address=10.200.1.7:8102
+bounds.retryBudgetRatio=0.2
+bounds.retryBudgetExtra=56
+bounds.retryWindowS=10
+bounds.graceS=6
+something.new=7
+"""
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def configuration(**changes):
+    """Return a configuration with one route."""
+    return msgspec.json.encode({'version': 7, 'routes': [{**ROUTE, **changes}]})
+
+
+def test_a_registration_is_read_into_named_fields():
+    record = decode_server('servers/i-1', msgspec.json.encode(SERVER))
+    assert record.name == 'i-1'
+    assert (record.data_centre, record.state) == ('de', ServerState.READY)
+    assert (record.cold_ms, record.born_ms, record.sequence) == (250, 1700, 4)
+
+
+@pytest.mark.parametrize('field', [name for name in SERVER if name != 'born'])
+def test_a_registration_without_a_field_names_no_server(field):
+    cut = {name: content for name, content in SERVER.items() if name != field}
+    with pytest.raises(DocumentError, match='servers/i-1'):
+        decode_server('servers/i-1', msgspec.json.encode(cut))
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'gone'},
+        {'slots': 0},
+        {'slots': '2'},
+        {'slots': True},
+        {'address': '10.0.0.1'},
+        {'address': ':80'},
+        {'address': '10.0.0.1:http'},
+        {'service': ''},
+        {'sequence': 1.5},
+        {'coldRemainingMs': None},
+    ],
+)
+def test_a_registration_with_a_wrong_field_names_no_server(changes):
+    with pytest.raises(DocumentError):
+        decode_server('servers/i-1', msgspec.json.encode({**SERVER, **changes}))
+
+
+@given(st.sampled_from(sorted(SERVER)), JSON)
+def test_any_field_of_any_type_is_read_or_refused(field, content):
+    text = msgspec.json.encode({**SERVER, field: content})
+    try:
+        record = decode_server('servers/i-1', text)
+    except DocumentError:
+        return
+    assert record.service and record.slots > 0
+
+
+@given(st.binary(max_size=60) | st.integers(0, 160))
+def test_any_bytes_are_read_or_refused(piece):
+    whole = msgspec.json.encode(SERVER)
+    text = whole[:piece] if isinstance(piece, int) else piece
+    for decode in (partial(decode_server, 'servers/i'), decode_configuration):
+        try:
+            decode(text)
+        except DocumentError as error:
+            assert error.reason
+
+
+def test_routes_are_read_with_what_may_be_repeated():
+    (route,) = decode_configuration(configuration()).routes
+    assert not route.repeatable
+    assert (route.timeout_ms, route.target_ms, route.rank) == (800, 56, 2)
+    assert route.services == (WeightedService('s', 1),)
+    (safe,) = decode_configuration(configuration(kind='safe')).routes
+    assert safe.repeatable
+
+
+def test_a_route_over_shards_is_safe_whatever_its_kind():
+    text = configuration(
+        service='', fanoutServices=['a', 'b'], topK=5, minShardShare=0.75
+    )
+    (route,) = decode_configuration(text).routes
+    assert route.repeatable
+    assert route.gather == Gather(('a', 'b'), 5, 0.75)
+    assert not route.services
+
+
+def test_weighted_services_keep_their_weights():
+    parts = [{'service': 'a', 'weight': 9}, {'service': 'b', 'weight': 1}]
+    (route,) = decode_configuration(configuration(weightedServices=parts)).routes
+    assert [part.weight for part in route.services] == [9, 1]
+
+
+def test_evacuations_are_the_keys_under_their_prefix():
+    keys = ('op/config', 'op/evacuate/de', 'op/rollout/s')
+    assert evacuated_zones(keys) == frozenset(('de',))
+
+
+def test_settings_are_read_and_unknown_ones_passed_over():
+    settings = parse_settings(SETTINGS)
+    assert settings.seeds == ('10.1.0.9:8106', '10.2.0.21:8106')
+    assert (settings.grace_ms, settings.budget.window_ms) == (6000, 10_000)
+    assert settings.apply_ms == 3000
+
+
+@pytest.mark.parametrize(
+    ('line', 'name'),
+    [
+        ('node=', 'node'),
+        ('listen.front=10.1.0.9', 'listen.front'),
+        ('platform.address=', 'platform.address'),
+        ('bounds.graceS=soon', 'bounds.graceS'),
+        ('bounds.graceS=-1', 'bounds.graceS'),
+        ('bounds.retryBudgetRatio=nan', 'bounds.retryBudgetRatio'),
+    ],
+)
+def test_a_wrong_setting_is_named(line, name):
+    with pytest.raises(SettingsError, match=name):
+        parse_settings(SETTINGS + line)
+
+
+def test_a_request_is_passed_on_without_what_concerns_one_connection():
+    request = read_request(
+        'GET',
+        '/p/x?y=1',
+        [
+            ('Host', 'h'),
+            ('Request-Id', 'abc'),
+            ('deadline', '600'),
+            ('Connection', 'keep-alive, X-Hop'),
+            ('X-Hop', '1'),
+            ('X-Kept', '2'),
+            ('Transfer-Encoding', 'chunked'),
+            ('Target-Instance', 'forged'),
+        ],
+        b'body',
+        5,
+    )
+    assert (request.request_id, request.host, request.patience_ms) == ('abc', 'h', 600)
+    assert request.headers == (('Request-Id', 'abc'), ('X-Kept', '2'))
+    text = render_call(request, 'i-1', 412.7).decode()
+    assert text.startswith('GET /p/x?y=1 HTTP/1.1\r\nHost: h\r\n')
+    assert 'Deadline: 412\r\n' in text
+    assert 'Target-Instance: i-1\r\n' in text
+    assert text.count('Target-Instance') == 1
+    assert text.endswith('Content-Length: 4\r\n\r\nbody')
+
+
+@pytest.mark.parametrize('header', ['', 'soon', '-5', '1e99', 'nan'])
+def test_a_patience_that_makes_no_sense_is_bounded(header):
+    request = read_request('GET', '/', [('Deadline', header)], b'', 0)
+    assert 0 <= request.patience_ms <= 600_000
+
+
+@pytest.mark.parametrize(
+    ('header', 'load'),
+    [
+        ('3,0,8', LoadReport(3, 0, 8)),
+        (' 3, 1 ,8', LoadReport(3, 1, 8)),
+        ('3,0', None),
+        ('a,b,c', None),
+        ('-1,0,2', None),
+        ('', None),
+    ],
+)
+def test_reports_of_load_are_read_or_passed_over(header, load):
+    answer = read_answer(HttpAnswer(200, [('Server-Load', header)], b''))
+    assert answer.load == load
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'ran', 'wrong_server'),
+    [
+        (503, [('Not-Executed', '1')], False, False),
+        (503, [], True, False),
+        (421, [('Instance-Id', 'i-2')], False, True),
+        (500, [('Response-Signature', 's')], True, False),
+    ],
+)
+def test_only_the_servers_word_says_that_a_request_did_not_run(
+    status, headers, ran, wrong_server
+):
+    answer = read_answer(HttpAnswer(status, headers, b''))
+    assert (answer.ran, answer.wrong_server) == (ran, wrong_server)
+
+
+def test_an_answer_with_another_id_belongs_to_another_request():
+    assert is_answer_to('a', HttpAnswer(200, [('request-id', 'a')], b''))
+    assert not is_answer_to('a', HttpAnswer(200, [('Request-Id', 'b')], b''))
+
+
+def test_parts_and_what_is_missing_are_told():
+    reply = render_gathered('r', Gathered(('s1', 's2'), 3, b'x'))
+    assert dict(reply.headers)['Part-Stamps'] == 's1, s2'
+    assert dict(reply.headers)['Missing-Parts'] == '3'
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'status'),
+    [
+        (Outcome.NO_ROUTE, 404),
+        (Outcome.REFUSED, 503),
+        (Outcome.FAILED, 502),
+        (Outcome.TIMED_OUT, 504),
+    ],
+)
+def test_only_a_refusal_promises_that_nothing_ran(outcome, status):
+    assert render_turned_away('r', TurnAway(outcome, 'why')).status == status
+
+
+def test_a_refusal_tells_when_to_come_back_in_seconds():
+    reply = render_turned_away('r', TurnAway(Outcome.REFUSED, 'why', 250))
+    assert dict(reply.headers)['Retry-After'] == '0.250'
--- /dev/null
+++ b/cowsliploom/standins/_users_store.py
@@ -0,0 +1,167 @@
+"""A stand-in of the users' store: items, a history, leases and fault switches."""
+
+import asyncio
+import base64
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from cowsliploom.dataplane import HttpListener, HttpRequest
+
+MS_PER_S = 1000
+PAGE_ITEMS = 500
+WATCH_STEP_MS = 5
+JSON = ('Content-Type', 'application/json')
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Switch the store's troubles on and off.
+
+    Parameters
+    ----------
+    status : int
+        Answered to every call instead of its result; 0 for none.
+    is_silent : bool
+        Whether calls get no answer at all.
+    is_deaf : bool
+        Whether watches hear nothing.
+    """
+
+    status: int = 0
+    is_silent: bool = False
+    is_deaf: bool = False
+
+
+class UsersStore:
+    """Serve items as the users' pages say.
+
+    Notes
+    -----
+    Only what the entry daemon calls is there: reads, ranges and watches.
+    """
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.revision = 1
+        self.calls = 0
+        self._items: dict[str, dict[str, object]] = {}
+        self._history: list[dict[str, object]] = []
+        self._history_from = 0
+        self._listener: HttpListener | None = None
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port`` once started."""
+        return self._listener.address if self._listener else ''
+
+    async def start(self, address: str = '127.0.0.1:0') -> None:
+        """Listen."""
+        self._listener = HttpListener(address, self._take)
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._listener is not None:
+            await self._listener.close()
+
+    def put(self, key: str, content: bytes) -> int:
+        """Write an item as an operator or a backend server would."""
+        self.revision += 1
+        item: dict[str, object] = {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'revision': self.revision,
+            'createRevision': self.revision,
+            'lease': 0,
+        }
+        self._items[key] = item
+        self._history.append(item)
+        return self.revision
+
+    def delete(self, key: str) -> int:
+        """Remove an item."""
+        self.revision += 1
+        del self._items[key]
+        self._history.append({'key': key, 'revision': self.revision, 'tombstone': True})
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Drop what watches could hear."""
+        self._history.clear()
+        self._history_from = self.revision
+
+    def _take(self, request: HttpRequest) -> Callable[[], None] | None:
+        self.calls += 1
+        if self.faults.is_silent:
+            return None
+        if self.faults.status:
+            request.answer(self.faults.status, [], b'')
+            return None
+        parts = urlsplit(request.target)
+        query = {name: texts[0] for name, texts in parse_qs(parts.query).items()}
+        match parts.path:
+            case '/v1/kv-key':
+                self._read(request, query.get('key', ''))
+            case '/v1/kv-range':
+                self._list(request, query.get('prefix', ''), query.get('after', ''))
+            case '/v1/kv-watch':
+                watching = asyncio.get_running_loop().create_task(
+                    self._watch(request, query)
+                )
+                return lambda: None if watching.cancel() else None
+            case _:
+                request.answer(404, [], b'')
+        return None
+
+    def _read(self, request: HttpRequest, key: str) -> None:
+        item = self._items.get(key)
+        if item is None:
+            request.answer(404, [], b'')
+        else:
+            _answer(request, {**item, 'currentRev': self.revision})
+
+    def _list(self, request: HttpRequest, prefix: str, after: str) -> None:
+        keys = sorted(
+            key for key in self._items if key.startswith(prefix) and key > after
+        )
+        page = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        _answer(request, {'items': page, 'hasMore': more, 'currentRev': self.revision})
+
+    async def _watch(self, request: HttpRequest, query: dict[str, str]) -> None:
+        after = int(query['after'])
+        prefix = query.get('prefix', '')
+        left_ms = float(query['waitMs'])
+        while left_ms > 0:
+            if after < self._history_from:
+                request.answer(410, [], b'')
+                return
+            events = self._events(prefix, after)
+            if events:
+                _answer(request, {'events': events, 'currentRev': self.revision})
+                return
+            await asyncio.sleep(WATCH_STEP_MS / MS_PER_S)
+            left_ms -= WATCH_STEP_MS
+        current = after if self.faults.is_deaf else self.revision
+        _answer(request, {'events': [], 'currentRev': current})
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, object]]:
+        if self.faults.is_deaf:
+            return []
+        return [
+            event
+            for event in self._history
+            if str(event['key']).startswith(prefix) and _revision(event) > after
+        ]
+
+
+def _revision(event: dict[str, object]) -> int:
+    revision = event['revision']
+    return revision if isinstance(revision, int) else 0
+
+
+def _answer(request: HttpRequest, body: dict[str, object]) -> None:
+    request.answer(200, [JSON], msgspec.json.encode(body))
