Work out the next look of a request only when something may be due sooner

Cause: each answer of a query looked at all its open works again for the next time that something is due: 20 times 20 looks a query (cProfile of the new benchmark). Ruled out: the merge of records (0.1 of 1.7 s under the profiler).

--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -107,7 +107,7 @@
             if self.reply is not None:
                 commands.append(self.reply)
                 self._trail(now_ms)
-        if self.reply is None:
+        if self.reply is None and not _is_part(event):
             self.due_ms = self._pace.next_ms(self.works, now_ms)
         return commands
 
@@ -250,3 +250,8 @@
                 if attempt.server.is_silent(now_ms):
                     attempt.server.unreachable(now_ms)
         yield from self._drop_all()
+
+
+def _is_part(event: ExchangeEvent) -> bool:
+    """Tell whether an event is a good answer, which makes nothing due sooner."""
+    return isinstance(event, CallAnswered) and event.answer.is_good
--- a/cowsliploom/forwarding/_verdict.py
+++ b/cowsliploom/forwarding/_verdict.py
@@ -114,8 +114,8 @@
 
     def _conclude_gather(self, gather: Gather, now_ms: float) -> Reply | None:
         total = len(self.works)
-        parts = sum(work.part is not None for work in self.works)
-        open_works = sum(work.is_open for work in self.works)
+        parts = len([work for work in self.works if work.part is not None])
+        open_works = len([work for work in self.works if work.is_open])
         wanted = max(1, gather.coverage_min * total - ROUNDING)
         is_time = not open_works or now_ms >= self.times.answer_ms
         if parts >= wanted and is_time:
