Follow one request with cowsliploomctl explain; one copy of steps, limits and asking

Cause: the on-call engineer had to look back through the log by hand. The read-through found the steps of a failed call and the limits of callers defined twice, the wait for an answer written twice, dead names, and turns of weighted routes kept for ever. Also: the process tests took the same addresses in each test process; with tests of one file spread over three processes four of nine failed (connections refused), with addresses apart all nine pass in the same way. Ruled out for these failures: the change itself (they pass with one process a file).

--- a/cowsliploom/cli/ctl.py
+++ b/cowsliploom/cli/ctl.py
@@ -1,5 +1,6 @@
 """The operators' command-line tool."""
 
+import pathlib
 from typing import Any
 
 import click
@@ -14,7 +15,8 @@
     read_files,
 )
 from cowsliploom.cli._errors import CtlError
-from cowsliploom.cli._output import OutputForm, print_note
+from cowsliploom.cli._explain import explain, render_story
+from cowsliploom.cli._output import OutputForm, print_json, print_note, print_text
 from cowsliploom.cli._session import RESOURCES_PATH, Session, Target, pause
 from cowsliploom.cli._waiting import wait_for_move, wait_for_revision
 from cowsliploom.daemons._settings import SettingsChecker
@@ -216,6 +218,23 @@
     wait_for_move(session, session.watch(target, for_ms))
 
 
+@main.command('explain')
+@click.argument('request_id')
+@click.argument(
+    'logs', nargs=-1, required=True, type=click.Path(path_type=pathlib.Path)
+)
+@click.pass_obj
+def explain_request(
+    session: Session, request_id: str, logs: tuple[pathlib.Path, ...]
+) -> None:
+    """Tell from log files how a request ended, and what was believed then."""
+    for story in explain(request_id, logs):
+        if session.form is OutputForm.JSON:
+            print_json(story)
+        else:
+            print_text(render_story(story))
+
+
 @main.command()
 @click.argument('shell', type=click.Choice(['bash', 'zsh', 'fish']))
 def completion(shell: str) -> None:
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -3,12 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import StrEnum
+from functools import partial
 from typing import cast
 
 import httptools
 
 from cowsliploom.dataplane._sockets import end_when_silent, split_address
+from cowsliploom.forwarding import CallStep
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 250  # an opening packet that is dropped comes again too late
@@ -21,15 +22,6 @@
 HeaderList = list[tuple[str, str]]
 
 
-class FailedStep(StrEnum):
-    """Name the step at which a call failed."""
-
-    CONNECT = 'connect'
-    SEND = 'send'
-    RECEIVE = 'receive'
-    DECODE = 'decode'
-
-
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """Hold a server's whole answer."""
@@ -45,7 +37,7 @@
 
     Parameters
     ----------
-    step : FailedStep
+    step : CallStep
         At which step.
     peer : str
         Address of the server.
@@ -55,7 +47,7 @@
         False only when no byte of the request was sent.
     """
 
-    step: FailedStep
+    step: CallStep
     peer: str
     reason: str
     may_have_run: bool
@@ -155,7 +147,7 @@
             self._parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._finished is None:
-                self._fail(FailedStep.DECODE, repr(error))
+                self._fail(CallStep.DECODE, repr(error))
             self._has_extra = True
         self._deliver()
 
@@ -172,7 +164,7 @@
         self._transport = None
         self.pool.forget(self)
         if self._call is not None:
-            self._fail(FailedStep.RECEIVE, repr(exc) if exc else 'connection closed')
+            self._fail(CallStep.RECEIVE, repr(exc) if exc else 'connection closed')
 
     # The parser's side.
 
@@ -218,7 +210,7 @@
         self._stale_answers = 0
         call.connection = self
         if self._transport is None:
-            self._fail(FailedStep.SEND, 'connection closed', may_have_run=False)
+            self._fail(CallStep.SEND, 'connection closed', may_have_run=False)
         else:
             self._transport.write(call.content)
 
@@ -248,7 +240,7 @@
             return
         self._stale_answers += 1
         if not keep or self._stale_answers > STALE_ANSWERS_MAX:
-            self._fail(FailedStep.DECODE, 'answer to another request')
+            self._fail(CallStep.DECODE, 'answer to another request')
 
     def _deliver(self) -> None:
         """Hand on a finished answer once all bytes that came with it are read."""
@@ -269,7 +261,7 @@
                 self.idle_max_ms = _idle_ms(header, self.idle_max_ms)
         self.pool.keep(self)
 
-    def _fail(self, step: FailedStep, reason: str, may_have_run: bool = True) -> None:
+    def _fail(self, step: CallStep, reason: str, may_have_run: bool = True) -> None:
         call = self._call
         self.abort()
         if call is not None:
@@ -298,7 +290,6 @@
         self.address = address
         self.connect_timeout_ms = connect_timeout_ms
         self.silent_timeout_ms = silent_timeout_ms
-        self.opened = 0
         self._loop = asyncio.get_running_loop()
         self._idle: list[CallConnection] = []
         self._opening: set[asyncio.Task[None]] = set()
@@ -323,6 +314,17 @@
         self._opening.add(opening)
         opening.add_done_callback(self._opening.discard)
 
+    async def ask(self, content: bytes, timeout_ms: float) -> CallResult | None:
+        """Send a whole request and return what came of it; None if nothing in time."""
+        done: asyncio.Future[CallResult] = self._loop.create_future()
+        call = HttpCall(content, partial(_set_result, done))
+        self.send(call)
+        try:
+            return await asyncio.wait_for(done, timeout_ms / MS_PER_S)
+        except asyncio.TimeoutError:
+            call.drop()
+            return None
+
     def keep(self, connection: CallConnection) -> None:
         """Keep a connection for the next call."""
         if self._is_closed:
@@ -344,7 +346,6 @@
             connection.close()
 
     async def _open(self, call: HttpCall) -> None:
-        self.opened += 1
         host, port = split_address(self.address)
         opening = self._loop.create_connection(
             lambda: CallConnection(self), host=host, port=port
@@ -354,7 +355,7 @@
                 opening, self.connect_timeout_ms / MS_PER_S
             )
         except (OSError, asyncio.TimeoutError) as error:
-            call.end(HttpFailure(FailedStep.CONNECT, self.address, repr(error), False))
+            call.end(HttpFailure(CallStep.CONNECT, self.address, repr(error), False))
             return
         if call.is_ended:
             self._all.add(connection)
@@ -364,6 +365,11 @@
         connection.send(call)
 
 
+def _set_result(done: 'asyncio.Future[CallResult]', result: CallResult) -> None:
+    if not done.done():
+        done.set_result(result)
+
+
 def _idle_ms(header: str, default_ms: float) -> float:
     """Return how long a server that sent this ``Keep-Alive`` may be left idle."""
     for piece in header.split(','):
--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -10,6 +10,7 @@
 import httptools
 
 from cowsliploom.dataplane._sockets import end_when_silent, split_address
+from cowsliploom.forwarding import CallerLimits
 
 MS_PER_S = 1000
 SWEEP_MS = 250
@@ -33,16 +34,6 @@
 HeaderList = list[tuple[str, str]]
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Bound what one connection may send and how long it may take."""
-
-    header_bytes_max: int = 16_384
-    body_bytes_max: int = 262_144
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
-
-
 @dataclass(slots=True)
 class HttpRequest:
     """Hold one whole request and the connection that waits for its answer."""
@@ -218,7 +209,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def sweep(self, now_ms: float, limits: ServerLimits) -> None:
+    def sweep(self, now_ms: float, limits: CallerLimits) -> None:
         """Close a connection that is idle or too slow for too long."""
         waited_ms = now_ms - self.since_ms
         if self.is_idle:
@@ -280,7 +271,7 @@
         self,
         address: str,
         handler: Handler,
-        limits: Callable[[], ServerLimits] = ServerLimits,
+        limits: Callable[[], CallerLimits] = CallerLimits,
         on_rejected: Callable[[int], None] = _ignore,
     ) -> None:
         self.address = address
--- a/cowsliploom/dataplane/tests/test_dataplane.py
+++ b/cowsliploom/dataplane/tests/test_dataplane.py
@@ -6,15 +6,14 @@
 
 from cowsliploom.dataplane import (
     ConnectionPool,
-    FailedStep,
     HttpAnswer,
     HttpCall,
     HttpFailure,
     HttpListener,
-    ServerLimits,
 )
+from cowsliploom.forwarding import CallerLimits, CallStep
 
-LIMITS = ServerLimits(
+LIMITS = CallerLimits(
     header_bytes_max=400, body_bytes_max=100, header_timeout_ms=300, idle_timeout_ms=600
 )
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -247,7 +246,7 @@
         return await call(ConnectionPool(f'{host}:{port}'))
 
     result = asyncio.run(play())
-    assert result.step is FailedStep.CONNECT
+    assert result.step is CallStep.CONNECT
     assert not result.may_have_run
 
 
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -74,6 +74,7 @@
         if table.version <= self.table.version:
             return False
         self.table = table
+        self._turns.keep(table.routes)
         return True
 
     def open(self, request: CallerRequest) -> Exchange | TurnAway:
--- a/cowsliploom/forwarding/_messages.py
+++ b/cowsliploom/forwarding/_messages.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from cowsliploom.forwarding._routes import Route
 from cowsliploom.forwarding._servers import LoadReport, Server
 
 Headers = tuple[tuple[str, str], ...]
@@ -206,11 +205,3 @@
 
 Reply = PassOn | Gathered | TurnAway
 Command = SendCall | DropCall | PassOn | Gathered | TurnAway
-
-
-@dataclass(frozen=True, slots=True)
-class Admission:
-    """Hold the route on which a request runs, and the version that named it."""
-
-    route: Route
-    version: int
--- a/cowsliploom/forwarding/_weights.py
+++ b/cowsliploom/forwarding/_weights.py
@@ -1,6 +1,7 @@
 """Turns of weighted services, so that shares hold over few requests too."""
 
 import random
+from collections.abc import Iterable
 
 from cowsliploom.forwarding._routes import Route
 
@@ -18,6 +19,13 @@
         self._random = generator
         self._credit: dict[tuple[str, str], float] = {}
 
+    def keep(self, routes: Iterable[Route]) -> None:
+        """Forget the turns of routes that are no more."""
+        names = {route.name for route in routes}
+        self._credit = {
+            key: credit for key, credit in self._credit.items() if key[0] in names
+        }
+
     def next_service(self, route: Route) -> str:
         """Return the service whose turn it is."""
         services = route.services
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 from cowsliploom.members import Acquaintances, Member
-from cowsliploom.dataplane import HttpListener, HttpRequest, ServerLimits
-from cowsliploom.forwarding import ForwardingDesk
+from cowsliploom.dataplane import HttpListener, HttpRequest
+from cowsliploom.forwarding import CallerLimits, ForwardingDesk
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._forwarder import Forwarder
 from cowsliploom.gateway._isolation import Isolation
@@ -151,14 +151,8 @@
     def _owns(self, server: str) -> bool:
         return self._peers.owns(server)
 
-    def _limits(self) -> ServerLimits:
-        limits = self._desk.table.limits
-        return ServerLimits(
-            limits.header_bytes_max,
-            limits.body_bytes_max,
-            limits.header_timeout_ms,
-            limits.idle_timeout_ms,
-        )
+    def _limits(self) -> CallerLimits:
+        return self._desk.table.limits
 
     def _rejected(self, status: int) -> None:
         self.figures.count('unreadable_requests')
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -17,7 +17,6 @@
     CallerLeft,
     CallerRequest,
     CallFailed,
-    CallStep,
     Command,
     DropCall,
     Exchange,
@@ -184,9 +183,8 @@
             answer = platform.read_answer(result)
             self._step(CallAnswered(now_ms, call_id, answer))
             return
-        step = CallStep(result.step.value)
         self._step(
-            CallFailed(now_ms, call_id, step, result.reason, result.may_have_run)
+            CallFailed(now_ms, call_id, result.step, result.reason, result.may_have_run)
         )
 
     def _set_timer(self) -> None:
--- a/cowsliploom/gateway/_line_log.py
+++ b/cowsliploom/gateway/_line_log.py
@@ -32,7 +32,6 @@
 
     def __init__(self, descriptor: int | None = None) -> None:
         self.lost = 0
-        self.written = 0
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         self._encode = msgspec.json.Encoder().encode
         self._buffer: deque[bytes] = deque()
@@ -69,7 +68,6 @@
             return
         self._buffer.append(line)
         self._bytes += len(line)
-        self.written += 1
         if self._flushing is None and self._loop is not None:
             self._flushing = self._loop.call_later(FLUSH_MS / MS_PER_S, self._flush)
 
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -12,10 +12,8 @@
     rank_names,
 )
 from cowsliploom.dataplane import (
-    CallResult,
     ConnectionPool,
     HttpAnswer,
-    HttpCall,
     HttpListener,
     HttpRequest,
 )
@@ -159,23 +157,12 @@
             self._live = live
 
     async def _exchange(self, address: str) -> bool:
-        loop = asyncio.get_running_loop()
-        done: asyncio.Future[CallResult] = loop.create_future()
         body = encode_message(self._message(None))
         head = (
             f'POST {PATH} HTTP/1.1\r\nHost: {address}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
-        call = HttpCall(
-            head.encode() + body,
-            lambda result: None if done.done() else done.set_result(result),
-        )
-        self._pool(address).send(call)
-        try:
-            reply = await asyncio.wait_for(done, TIMEOUT_MS / MS_PER_S)
-        except asyncio.TimeoutError:
-            call.drop()
-            return False
+        reply = await self._pool(address).ask(head.encode() + body, TIMEOUT_MS)
         message = decode_message(reply.body) if isinstance(reply, HttpAnswer) else None
         self._hear(message)
         return message is not None
--- a/cowsliploom/platform/_settings.py
+++ b/cowsliploom/platform/_settings.py
@@ -45,8 +45,6 @@
         Bounds of extra calls, over all entry VMs.
     grace_ms : float
         Time between the order to stop and the kill.
-    apply_ms : float
-        Time within which a configuration has to be in force everywhere.
     """
 
     name: str
@@ -58,7 +56,6 @@
     store_address: str
     budget: BudgetRules
     grace_ms: float
-    apply_ms: float
 
 
 def read_settings(path: Path) -> MachineSettings:
@@ -109,7 +106,6 @@
             window_ms=_number(fields, 'bounds.retryWindowS', '10') * MS_PER_S,
         ),
         grace_ms=_number(fields, 'bounds.graceS', '6') * MS_PER_S,
-        apply_ms=_number(fields, 'bounds.configApplyMs', '3000'),
     )
 
 
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -1,6 +1,5 @@
 """The platform's store over HTTP: its calls, and what they answer."""
 
-import asyncio
 import base64
 import binascii
 from collections import Counter
@@ -11,9 +10,8 @@
 import msgspec
 
 from cowsliploom.members import Batch, MirrorItem, Removal
-from cowsliploom.dataplane import CallResult, ConnectionPool, HttpAnswer, HttpCall
+from cowsliploom.dataplane import CallResult, ConnectionPool, HttpAnswer
 
-MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 1000
 OK = 200
 HISTORY_GONE = 410
@@ -143,20 +141,7 @@
         """Return the answer, the failure, or None when there was none in time."""
         self.calls[kind] += 1
         head = f'{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n'
-        loop = asyncio.get_running_loop()
-        done: asyncio.Future[CallResult] = loop.create_future()
-        call = HttpCall(
-            head.encode('latin-1'),
-            lambda result: None if done.done() else done.set_result(result),
-        )
-        self._pool.send(call)
-        try:
-            return await asyncio.wait_for(done, timeout_ms / MS_PER_S)
-        except asyncio.TimeoutError:
-            return None
-        finally:
-            if not call.is_ended:
-                call.drop()
+        return await self._pool.ask(head.encode('latin-1'), timeout_ms)
 
     def _decode(
         self, reply: CallResult | None, step: str, kind: type[Found]
--- a/cowsliploom/platform/tests/test_documents.py
+++ b/cowsliploom/platform/tests/test_documents.py
@@ -171,7 +171,6 @@
     settings = parse_settings(SETTINGS)
     assert settings.seeds == ('10.1.0.9:8106', '10.2.0.21:8106')
     assert (settings.grace_ms, settings.budget.window_ms) == (6000, 10_000)
-    assert settings.apply_ms == 3000
 
 
 @pytest.mark.parametrize(
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -15,6 +15,7 @@
 pytestmark = pytest.mark.processes
 
 SHARDS = ('s0', 's1', 's2', 's3')
+PLACE = f'127.0.{os.getpid() % 250 + 1}'  # apart for each test process
 START_S = 10
 LATE_S = 0.6  # the target is 0.15 s; the machine may be busy
 
@@ -51,7 +52,7 @@
 
 def settings(number, store_address, seeds):
     """Return the text of a gateway's settings file."""
-    host = f'127.0.0.{number}'
+    host = f'{PLACE}.{number}'
     return '\n'.join(
         (
             f'node=vm-{number}',
@@ -109,7 +110,7 @@
         """Wait until a gateway is ready."""
         end = time.monotonic() + START_S
         while time.monotonic() < end:
-            answer = await ask(f'127.0.0.{number}:18101', '/v1/ready')
+            answer = await ask(f'{PLACE}.{number}:18101', '/v1/ready')
             if isinstance(answer, HttpAnswer) and answer.status == 200:
                 return
             await asyncio.sleep(0.05)
@@ -154,7 +155,7 @@
     async def script(world):
         await world.gateway(2)
         await world.ready(2)
-        answer = await ask('127.0.0.2:18100', '/wide/x?q=1')
+        answer = await ask(f'{PLACE}.2:18100', '/wide/x?q=1')
         headers = dict(answer.headers)
         assert answer.body == b'D' * 16 + b'C' * 16 + b'B' * 16
         assert headers['Missing-Parts'] == '0'
@@ -163,9 +164,9 @@
         assert arrived['target'] == '/wide/x?q=1'
         assert arrived['target-instance'] == 'i-s0'
         assert 0 < int(arrived['deadline']) <= 1400
-        answer = await ask('127.0.0.2:18100', '/once/x', 'POST', b'two words')
+        answer = await ask(f'{PLACE}.2:18100', '/once/x', 'POST', b'two words')
         assert (answer.status, answer.body) == (200, b'E' * 16)
-        answer = await ask('127.0.0.2:18100', '/other/x')
+        answer = await ask(f'{PLACE}.2:18100', '/other/x')
         assert answer.status == 404
 
     play(tmp_path, script)
@@ -177,7 +178,7 @@
         await world.ready(2)
         world.backends['s3'].faults.is_mute = True
         started = time.monotonic()
-        answer = await ask('127.0.0.2:18100', '/wide/x')
+        answer = await ask(f'{PLACE}.2:18100', '/wide/x')
         assert time.monotonic() < started + LATE_S
         assert dict(answer.headers)['Missing-Parts'] == '1'
         assert answer.body == b'C' * 16 + b'B' * 16 + b'A' * 16
@@ -190,7 +191,7 @@
         await world.gateway(2)
         await world.ready(2)
         world.backends['one'].faults.sheds = True
-        answer = await ask('127.0.0.2:18100', '/once/x', 'POST', b'x')
+        answer = await ask(f'{PLACE}.2:18100', '/once/x', 'POST', b'x')
         assert answer.status == 503
         assert float(dict(answer.headers)['Retry-After']) > 0
         assert not world.backends['one'].ran
@@ -203,7 +204,7 @@
         await world.gateway(2)
         await world.ready(2)
         world.backends['one'].name = 'i-another'
-        answer = await ask('127.0.0.2:18100', '/once/x', 'POST', b'x')
+        answer = await ask(f'{PLACE}.2:18100', '/once/x', 'POST', b'x')
         assert answer.status == 503
         assert not world.backends['one'].ran
 
@@ -215,7 +216,7 @@
         await world.gateway(2)
         await world.ready(2)
         world.backends['one'].faults.crossed_id = 'r-0'
-        answer = await ask('127.0.0.2:18100', '/once/x', 'POST', b'x')
+        answer = await ask(f'{PLACE}.2:18100', '/once/x', 'POST', b'x')
         assert answer.status in {502, 504}
 
     play(tmp_path, script)
@@ -226,9 +227,9 @@
         await world.gateway(2)
         await world.ready(2)
         world.store.faults.is_silent = True
-        await world.gateway(3, seeds='127.0.0.2:18102')
+        await world.gateway(3, seeds=f'{PLACE}.2:18102')
         await world.ready(3)
-        answer = await ask('127.0.0.3:18100', '/wide/x')
+        answer = await ask(f'{PLACE}.3:18100', '/wide/x')
         assert answer.status == 200
 
     play(tmp_path, script)
@@ -237,7 +238,7 @@
 def test_a_new_version_is_in_force_at_all_soon_though_one_is_turned_away(tmp_path):
     async def script(world):
         await world.gateway(2)
-        await world.gateway(3, seeds='127.0.0.2:18102')
+        await world.gateway(3, seeds=f'{PLACE}.2:18102')
         await world.ready(2)
         await world.ready(3)
         await asyncio.sleep(1)
@@ -246,7 +247,7 @@
         for number in (2, 3):
             end = time.monotonic() + 3
             while time.monotonic() < end:
-                answer = await ask(f'127.0.0.{number}:18100', '/wide/x')
+                answer = await ask(f'{PLACE}.{number}:18100', '/wide/x')
                 if answer.status == 404:
                     break
                 await asyncio.sleep(0.05)
@@ -260,11 +261,11 @@
         process = await world.gateway(2)
         await world.ready(2)
         world.backends['one'].faults.delay_ms = 800
-        asking = asyncio.create_task(ask('127.0.0.2:18100', '/once/x', 'POST', b'x'))
+        asking = asyncio.create_task(ask(f'{PLACE}.2:18100', '/once/x', 'POST', b'x'))
         await asyncio.sleep(0.2)
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.1)
-        answer = await ask('127.0.0.2:18101', '/v1/ready')
+        answer = await ask(f'{PLACE}.2:18101', '/v1/ready')
         assert answer.status == 503
         answer = await asking
         assert answer.status == 200
