--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -5,8 +5,8 @@
 from cowsliploom.dataplane._client import HttpAnswer as HttpAnswer
 from cowsliploom.dataplane._client import HttpCall as HttpCall
 from cowsliploom.dataplane._client import HttpFailure as HttpFailure
-from cowsliploom.dataplane._server import HeaderList as HeaderList
 from cowsliploom.dataplane._server import HttpListener as HttpListener
 from cowsliploom.dataplane._server import HttpRequest as HttpRequest
+from cowsliploom.dataplane._sockets import HeaderList as HeaderList
 from cowsliploom.dataplane._sockets import end_when_silent as end_when_silent
 from cowsliploom.dataplane._sockets import split_address as split_address
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -8,18 +8,14 @@
 
 import httptools
 
-from cowsliploom.dataplane._sockets import end_when_silent, split_address
+from cowsliploom.dataplane._sockets import HeaderList, end_when_silent, split_address
 from cowsliploom.forwarding import CallStep
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_MS = 250  # an opening packet that is dropped comes again too late
 IDLE_GRACE_MS = 700  # a kept connection is given up this long before its server would
 IDLE_DEFAULT_MS = 4000  # for servers that don't say how long they keep one
-STALE_ANSWERS_MAX = (
-    3  # late answers to earlier requests, before a connection is dropped
-)
-
-HeaderList = list[tuple[str, str]]
+STALE_ANSWERS_MAX = 3  # late answers to earlier requests on one connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from cowsliploom.dataplane._sockets import end_when_silent, split_address
+from cowsliploom.dataplane._sockets import HeaderList, end_when_silent, split_address
 from cowsliploom.forwarding import CallerLimits
 
 MS_PER_S = 1000
@@ -31,8 +31,6 @@
     504: 'Gateway Timeout',
 }
 
-HeaderList = list[tuple[str, str]]
-
 
 @dataclass(slots=True)
 class HttpRequest:
--- a/cowsliploom/dataplane/_sockets.py
+++ b/cowsliploom/dataplane/_sockets.py
@@ -1,7 +1,9 @@
-"""Socket options that make silent connections end."""
+"""What listeners and kept connections share: addresses, headers, socket options."""
 
 import socket
 
+HeaderList = list[tuple[str, str]]
+
 SILENT_TIMEOUT_MS = 2500  # unacknowledged bytes for longer end a connection
 PROBE_IDLE_S = 2
 PROBE_GAP_S = 1
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -100,13 +100,12 @@
             case CallerLeft():
                 self.is_left = True
                 return list(self._drop_all())
+            case Ticked() if self.reply is not None:
+                commands.extend(self._give_up_calls(now_ms))
             case Ticked():
-                commands.extend(self._tick(now_ms))
-        if self.reply is None and not self.is_left:
-            self.reply = self._verdict.conclude(now_ms)
-            if self.reply is not None:
-                commands.append(self.reply)
-                self._trail(now_ms)
+                commands.extend(self._settle(now_ms))
+                commands.extend(self._send_due(now_ms))
+        commands.extend(self._settle(now_ms))
         if self.reply is None and not _is_part(event):
             self.due_ms = self._pace.next_ms(self.works, now_ms)
         return commands
@@ -205,7 +204,7 @@
             work.budget.spend(now_ms)
             self.hedges += is_hedge
             self.retries += not is_hedge
-        work.sent(call_id, Attempt(server, now_ms, is_hedge))
+        work.sent(call_id, Attempt(server, now_ms))
         server.sent(call_id, now_ms)
         self._calls[call_id] = work
         yield SendCall(
@@ -219,13 +218,10 @@
         else:
             work.end('no server')
 
-    def _tick(self, now_ms: float) -> Iterator[Command]:
+    def _send_due(self, now_ms: float) -> Iterator[Command]:
+        """Send what waited for room or is to be hedged, unless the answer is out."""
         if self.reply is not None:
-            if now_ms >= self.due_ms:
-                yield from self._give_up_calls(now_ms)
             return
-        if self._verdict.conclude(now_ms) is not None:
-            return  # no call is sent just before the answer
         for work in self.works:
             if work.is_open and self._pace.is_due(work, now_ms):
                 work.waits_until_ms = None
@@ -233,10 +229,14 @@
 
     # When to look again, and what to leave behind.
 
-    def _trail(self, now_ms: float) -> None:
-        for work in self.works:
-            work.waits_until_ms = None
-        self.due_ms = min(self._times.end_ms, now_ms + TRAIL_MS)
+    def _settle(self, now_ms: float) -> Iterator[Command]:
+        """Answer if it is time, and leave open calls a while to end by themselves."""
+        if self.reply is not None or self.is_left:
+            return
+        self.reply = self._verdict.conclude(now_ms)
+        if self.reply is not None:
+            self.due_ms = min(self._times.end_ms, now_ms + TRAIL_MS)
+            yield self.reply
 
     def _drop_all(self) -> Iterator[Command]:
         for call_id in list(self._calls):
@@ -245,6 +245,8 @@
 
     def _give_up_calls(self, now_ms: float) -> Iterator[Command]:
         """Drop calls that nobody has waited for, and learn from their silence."""
+        if now_ms < self.due_ms:
+            return
         for work in self.works:
             for attempt in work.open.values():
                 if attempt.server.is_silent(now_ms):
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -153,10 +153,6 @@
             )
         self.record = record
 
-    def take_cold(self, remaining_ms: float, now_ms: float) -> None:
-        """Take the server's own word on how long it stays cold."""
-        self.cold_until_ms = now_ms + remaining_ms
-
     def take_load(self, load: LoadReport, now_ms: float) -> None:
         """Take a report of load."""
         self.load = load
@@ -182,9 +178,9 @@
         """Count a call."""
         self.open_calls[call_id] = now_ms
 
-    def ended(self, call_id: int) -> float | None:
-        """Take a call off the count and return when it was sent."""
-        return self.open_calls.pop(call_id, None)
+    def ended(self, call_id: int) -> None:
+        """Take a call off the count."""
+        self.open_calls.pop(call_id, None)
 
     def succeeded(self, elapsed_ms: float) -> None:
         """Learn from a good answer."""
@@ -207,15 +203,13 @@
 
     def failed(self, now_ms: float) -> None:
         """Learn from a failure, and rest the longer the more there were."""
-        self.failures += 1
-        self.error_share += (1 - self.error_share) * ERROR_SHARE
+        self._note_failure()
         if self.failures > 1:
             self.rest(now_ms)
 
     def unreachable(self, now_ms: float) -> None:
         """Learn from a refused or silent connection; rest at once."""
-        self.failures += 1
-        self.error_share += (1 - self.error_share) * ERROR_SHARE
+        self._note_failure()
         self.rest(now_ms)
 
     def rest(self, now_ms: float) -> None:
@@ -261,6 +255,10 @@
         trouble = (self.error_share + self.shed_share) * self._freshness(now_ms)
         return expected_ms * (1 + 4 * trouble)
 
+    def _note_failure(self) -> None:
+        self.failures += 1
+        self.error_share += (1 - self.error_share) * ERROR_SHARE
+
     def _belief(self, belief: str, for_ms: float) -> ServerBelief:
         return ServerBelief(
             self.name,
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -19,13 +19,10 @@
         Whom it went to.
     sent_ms : float
         When it was sent.
-    is_hedge : bool
-        Whether an earlier call was still open.
     """
 
     server: Server
     sent_ms: float
-    is_hedge: bool
 
 
 class Work:
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -118,7 +118,7 @@
             )
 
     def _take_zones(self) -> None:
-        keys = (item.key for item in self.mirror.under('op/'))
+        keys = (item.key for item in self.mirror.under(platform.EVACUATION_PREFIX))
         closed = platform.evacuated_zones(keys)
         if closed != self.desk.fleet.closed_data_centres:
             self.desk.fleet.closed_data_centres = closed
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -48,8 +48,8 @@
         self.knowledge = knowledge
         self.log = log
         self.peers = peers
-        self.answers_since_ms: float | None = None
         self._random = random.Random(seed)
+        self._answers = False
         self._failures = 0
         self._lists_next = True
 
@@ -87,18 +87,17 @@
         return PAUSE_MS
 
     def _answered(self) -> None:
-        now_ms = self.peers.now_ms()
-        if self.answers_since_ms is None:
-            self.answers_since_ms = now_ms
+        if not self._answers:
+            self._answers = True
             if self._failures:
-                self.knowledge.store_returned(now_ms)
+                self.knowledge.store_returned(self.peers.now_ms())
             self.log.write('store', 'answers', failures=self._failures)
         self._failures = 0
 
     def _unanswered(self, reply: StoreUnanswered) -> float:
-        if self.answers_since_ms is not None or not self._failures:
+        if self._answers or not self._failures:
             self.log.write('store', 'lost', step=reply.step, reason=reply.reason)
-        self.answers_since_ms = None
+        self._answers = False
         self._lists_next = True
         bound_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2**self._failures)
         self._failures = min(self._failures + 1, 16)
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -1,6 +1,7 @@
 """The users' platform: its names, formats and calls; nothing here decides."""
 
 from cowsliploom.platform._documents import CONFIGURATION_KEY as CONFIGURATION_KEY
+from cowsliploom.platform._documents import EVACUATION_PREFIX as EVACUATION_PREFIX
 from cowsliploom.platform._documents import SERVER_PREFIX as SERVER_PREFIX
 from cowsliploom.platform._documents import DocumentError as DocumentError
 from cowsliploom.platform._documents import decode_configuration as decode_configuration
