Finish a version move a step after all traffic has moved; trace the full server's test

The controller wrote the last share and 'finished' in one state, so daemons learnt of both together and an operator who then stops the old servers cuts whoever hears late. (2) test_server_that_is_full_says_so_before_reading timed out once: while the first request still waits for the thread it takes a queue place, so one of the others is refused and the thirteenth is queued. Result: the whole share stands twice in the schedule; the new controller test fails on the old schedule. Conclusion: (2) traced and mended.

--- a/cowsliploom/adapters/tests/test_http_server.py
+++ b/cowsliploom/adapters/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """The server takes what it can bear and answers the rest with a problem."""
 
 import contextlib
+import select
 import socket
 import threading
 import time
@@ -21,6 +22,7 @@
     encode_problem,
     problem_response,
 )
+from cowsliploom.adapters._http_server import WAITING_PER_THREAD
 
 SETTINGS = HttpServerSettings(
     threads=4,
@@ -214,18 +216,33 @@
         assert {answer.result(5).data for answer in answers} == {b'whole answer'}
 
 
+def wait_for_answers(socks, count):
+    """Return the connections that were answered, once there are so many."""
+    deadline_s = time.monotonic() + 5
+    answered = []
+    while len(answered) < count and time.monotonic() < deadline_s:
+        answered = select.select(socks, [], [], 0.05)[0]
+    return answered
+
+
 def test_server_that_is_full_says_so_before_reading(handler):
     settings = replace(SETTINGS, threads=1)
     request = b'GET /held HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
     with HttpServer('127.0.0.1:0', handler, settings) as running:
         with contextlib.ExitStack() as stack:
-            for _ in range(12):
-                stack.enter_context(connect(running)).sendall(request)
-            handler.held.acquire(timeout=5)
-            time.sleep(0.2)
-            problem = exchange(running, request).partition(b'\r\n\r\n')[2]
-            handler.release.set()
-    assert (decode_problem(problem).status, decode_problem(problem).ran) == (503, 'no')
+            stack.callback(handler.release.set)
+            # The first has to be in work before the others come: while it waits for
+            # the thread it takes one of the places that they are to fill.
+            stack.enter_context(connect(running)).sendall(request)
+            assert handler.held.acquire(timeout=5)
+            others = [stack.enter_context(connect(running)) for _ in range(11)]
+            for sock in others:
+                sock.sendall(request)
+            refused = wait_for_answers(others, count=11 - WAITING_PER_THREAD)
+            assert len(refused) == 11 - WAITING_PER_THREAD
+            answers = [exchange(running, request), *map(read_all, refused)]
+    problems = [decode_problem(one.partition(b'\r\n\r\n')[2]) for one in answers]
+    assert {(one.status, one.ran) for one in problems} == {(503, 'no')}
 
 
 def test_draining_server_closes_kept_connections_after_the_answer(server, http):
--- a/cowsliploom/rollout/_schedule.py
+++ b/cowsliploom/rollout/_schedule.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-SHARES = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0)
+# The whole share stands twice: a move is finished one step after all traffic has
+# moved, so that by then every daemon has heard of it.
+SHARES = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.0)
 EARLY_END = 0.6  # of the time given, when each step has its evidence
 LATE_END = 0.9  # of the time given, whatever the traffic; the rest is slack
 STEP_MIN_MS = 3000  # a bad version shows before the next step, also when late
--- a/cowsliploom/rollout/tests/test_controller.py
+++ b/cowsliploom/rollout/tests/test_controller.py
@@ -27,6 +27,7 @@
     Veto,
     VetoHeard,
 )
+from cowsliploom.rollout._schedule import STEP_MIN_MS
 from cowsliploom.rollout.tests.moves_world import FakeStore
 
 MOVE = Move('move', 'rota', 'v1', 'v2', 1, finish_by_ms=60_000)
@@ -97,9 +98,21 @@
     player.lost[kind] = lost
     run([player], at_ms)
     assert player.store.state().status is MoveStatus.FINISHED
-    shares = [msgspec.json.decode(fact.blob)['state']['share'] for fact in player.facts]
-    assert sorted(set(shares)) == list(SHARES)
-    assert shares == sorted(shares)
+    states = [msgspec.json.decode(fact.blob)['state'] for fact in player.facts]
+    told = [(state['step'], state['share']) for state in states]
+    assert sorted(set(told)) == list(enumerate(SHARES))
+    assert told == sorted(told)
+
+
+def test_move_is_finished_a_step_after_all_traffic_has_moved():
+    player = Player(FakeStore())
+    run([player])
+    states = [msgspec.json.decode(fact.blob)['state'] for fact in player.facts]
+    moved_ms = min(state['updated_ms'] for state in states if state['share'] == 1)
+    final = player.store.state()
+    assert final.status is MoveStatus.FINISHED
+    assert STEP_MIN_MS <= final.updated_ms - moved_ms
+    assert final.updated_ms <= MOVE.finish_by_ms
 
 
 @pytest.mark.parametrize('suspects', [frozenset(), frozenset(('move',))])
--- a/tests/processes/test_search_moves.py
+++ b/tests/processes/test_search_moves.py
@@ -15,7 +15,7 @@
 pytestmark = pytest.mark.processes
 
 SERVICE = 'cellar-00'
-GIVEN_S = 40  # eight steps of at least 3 s each
+GIVEN_S = 40  # nine steps of at least 3 s each
 SPREAD_S = 3  # the last share travels by gossip, seen at all after 0.84 s
 STOP_BOUND_S = 3  # the users' bound on new work after enough evidence
 
