Withdraw readiness at the first sign of a cut

The balancer needs two misses a second apart, so what is late there loses callers for a whole second. Change: several servers elsewhere that owe an answer for 100 ms while none answers are a first sign; readiness goes while the store and members elsewhere are asked, and returns if one of them answers. Ruled out: refusing the callers of a cut-off VM early; their second try reaches another VM of the same data centre until the balancer has noticed.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -24,6 +24,8 @@
 from cowsliploom.forwarding._messages import SendCall as SendCall
 from cowsliploom.forwarding._messages import Ticked as Ticked
 from cowsliploom.forwarding._messages import TurnAway as TurnAway
+from cowsliploom.forwarding._reach import is_quiet_elsewhere as is_quiet_elsewhere
+from cowsliploom.forwarding._reach import out_of_own_reach as out_of_own_reach
 from cowsliploom.forwarding._reach import out_of_reach as out_of_reach
 from cowsliploom.forwarding._records import merge_records as merge_records
 from cowsliploom.forwarding._routes import CallerLimits as CallerLimits
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -1,7 +1,7 @@
 """All backend servers that an entry VM knows, and the choice among them."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from cowsliploom.forwarding._servers import (
@@ -72,6 +72,10 @@
         """Return the number of servers."""
         return len(self._servers)
 
+    def __iter__(self) -> Iterator[Server]:
+        """Go through all servers."""
+        return iter(self._servers.values())
+
     def get(self, name: str) -> Server | None:
         """Return a server by the name of its incarnation."""
         return self._servers.get(name)
--- a/cowsliploom/forwarding/_reach.py
+++ b/cowsliploom/forwarding/_reach.py
@@ -2,6 +2,10 @@
 
 from cowsliploom.forwarding._fleet import Fleet
 from cowsliploom.forwarding._routes import Route, RouteTable
+from cowsliploom.forwarding._servers import Server
+
+QUIET_MS = 100.0  # no answer for so long is a sign where several servers owe one
+OWING_MIN = 3  # servers; fewer may all be slow or paused
 
 
 def out_of_reach(table: RouteTable, fleet: Fleet, now_ms: float) -> int:
@@ -16,12 +20,55 @@
     now_ms : float
         Time by the own steady clock.
     """
-    in_reach: dict[str, bool] = {}
-    for service in _services(table):
-        in_reach[service] = any(
-            server.takes_requests and not server.is_resting(now_ms)
-            for server in fleet.serving(service)
-        )
+    return _unanswerable(
+        table,
+        {
+            service: any(
+                server.takes_requests and not server.is_resting(now_ms)
+                for server in fleet.serving(service)
+            )
+            for service in _services(table)
+        },
+    )
+
+
+def out_of_own_reach(table: RouteTable, fleet: Fleet) -> int:
+    """Return how many routes the own data centre's servers can't answer alone."""
+    return _unanswerable(
+        table,
+        {
+            service: any(
+                server.takes_requests and server.record.data_centre == fleet.data_centre
+                for server in fleet.serving(service)
+            )
+            for service in _services(table)
+        },
+    )
+
+
+def is_quiet_elsewhere(fleet: Fleet, now_ms: float) -> bool:
+    """Tell whether several servers elsewhere owe an answer and none gives any.
+
+    Notes
+    -----
+    This is a first sign of a cut, sooner than each server's own silence can be told
+    from a pause. It says nothing certain.
+    """
+    elsewhere = [
+        server for server in fleet if server.record.data_centre != fleet.data_centre
+    ]
+    heard_ms = max((server.heard_ms for server in elsewhere), default=now_ms)
+    owing = [server for server in elsewhere if _owes_since(server, heard_ms, now_ms)]
+    return len(owing) >= OWING_MIN
+
+
+def _owes_since(server: Server, heard_ms: float, now_ms: float) -> bool:
+    """Tell whether a call is overdue that was sent after anybody was heard."""
+    waited_ms = server.oldest_wait_ms(now_ms)
+    return waited_ms > QUIET_MS and now_ms - waited_ms > heard_ms
+
+
+def _unanswerable(table: RouteTable, in_reach: dict[str, bool]) -> int:
     return sum(not _is_answerable(route, in_reach) for route in table.routes)
 
 
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -170,9 +170,8 @@
         self.log.write('daemon', 'reloaded', seeds=list(settings.seeds))
 
     def _tell_ready(self, request: HttpRequest) -> None:
-        ready = self._knowledge.is_ready and not (
-            self._is_draining or self._isolation.is_isolated
-        )
+        may_serve = self._isolation.is_ready and not self._is_draining
+        ready = self._knowledge.is_ready and may_serve
         request.answer(200 if ready else 503, [], b'')
 
     def _tell_figures(self, request: HttpRequest) -> None:
--- a/cowsliploom/gateway/_isolation.py
+++ b/cowsliploom/gateway/_isolation.py
@@ -3,13 +3,19 @@
 import asyncio
 from collections.abc import Callable
 
-from cowsliploom.forwarding import ForwardingDesk, out_of_reach
+from cowsliploom.forwarding import (
+    ForwardingDesk,
+    is_quiet_elsewhere,
+    out_of_own_reach,
+    out_of_reach,
+)
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.platform import PlatformStore
 
 MS_PER_S = 1000
-LOOK_MS = 200.0
+LOOK_MS = 50.0
+LOOK_AGAIN_MS = 200.0  # after a look that asked others
 PROBE_TIMEOUT_MS = 300.0
 
 
@@ -33,6 +39,8 @@
     -----
     Too few servers in reach may as well be the servers' fault. So this VM counts as
     cut off only while neither the store nor a member elsewhere answers it either.
+    While they are being asked it is suspected, and says that it isn't ready: the
+    balancer acts on two such answers a second apart, so a false alarm costs nothing.
     """
 
     def __init__(
@@ -44,20 +52,39 @@
         now_ms: Callable[[], float],
     ) -> None:
         self.is_isolated = False
+        self.is_suspected = False
         self._desk = desk
         self._peers = peers
         self._store = store
         self._log = log
         self._now_ms = now_ms
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return not (self.is_isolated or self.is_suspected)
+
     async def run(self) -> None:
         """Look until cancelled."""
+        pause_ms = LOOK_MS
         while True:
-            await asyncio.sleep(LOOK_MS / MS_PER_S)
-            now_ms = self._now_ms()
-            short = out_of_reach(self._desk.table, self._desk.fleet, now_ms)
-            if short or self.is_isolated:
-                self._set(not await self._reaches_anyone(), short)
+            await asyncio.sleep(pause_ms / MS_PER_S)
+            pause_ms = await self.look()
+
+    async def look(self) -> float:
+        """Look once, and return how long to wait before the next look."""
+        now_ms = self._now_ms()
+        table, fleet = self._desk.table, self._desk.fleet
+        is_quiet = is_quiet_elsewhere(fleet, now_ms)
+        short = out_of_reach(table, fleet, now_ms)
+        if is_quiet:
+            short = max(short, out_of_own_reach(table, fleet))
+        if not (short or self.is_isolated):
+            return LOOK_MS
+        self.is_suspected = is_quiet
+        self._set(not await self._reaches_anyone(), short)
+        self.is_suspected = False
+        return LOOK_AGAIN_MS
 
     async def _reaches_anyone(self) -> bool:
         answers = await asyncio.gather(
