Name members to a peer only while it knows others; believe the latest word of a member

Besides, a daemon started again with its clock set back was disbelieved for 20 s, as the start time decided which word on a member counts. Change: a message carries a digest of the members and their ages in the order of names (under 700 bytes for 70 members); names follow only where the digests differ. The latest word on a member counts, whatever its clock. An unreadable message is logged. Ruled out: fewer exchanges (membership would be noticed later for the same bytes).

--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import time
 from pathlib import Path
 
 from cowsliploom.members import Acquaintances, Member
@@ -63,7 +62,6 @@
             self.settings.name,
             self.settings.peers_address,
             self.settings.data_centre,
-            int(time.time()),
         )
         known = Acquaintances(own, self.settings.seeds, self._seed)
         self._peers = Peers(known, self._knowledge, self.log, self._now_ms)
--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from cowsliploom.members import Batch, Sighting
+from cowsliploom.members import Batch, Census, Member, Sighting
 
 
-class PeerMessage(msgspec.Struct, frozen=True):
+class PeerMessage(msgspec.Struct, frozen=True, omit_defaults=True):
     """Say who is alive, what is known here, and how old that is.
 
     Parameters
@@ -16,8 +16,10 @@
         The store's revision up to which the sender knows everything.
     age_ms : float
         Time since the store confirmed that.
-    sightings : tuple of Sighting
-        Members that the sender has heard of.
+    census : Census
+        When each member was last heard of, for a receiver that knows the same ones.
+    sightings : tuple of WireSighting
+        The same with names and addresses, where the receiver may know others.
     batch : Batch or None
         What the receiver doesn't know yet; only in answers.
     is_leaving : bool
@@ -29,10 +31,41 @@
     data_centre: str
     revision: int
     age_ms: float
-    sightings: tuple[Sighting, ...]
+    census: Census
+    sightings: tuple['WireSighting', ...] = ()
     batch: Batch | None = None
     is_leaving: bool = False
 
+    @property
+    def sender(self) -> Member:
+        """Return who sent the message."""
+        return Member(self.name, self.address, self.data_centre)
+
+
+class WireSighting(msgspec.Struct, frozen=True, array_like=True):
+    """Carry a sighting; without names of fields, as there are many in a message."""
+
+    name: str
+    address: str
+    data_centre: str
+    age_ms: int
+
+    @classmethod
+    def of(cls, sighting: Sighting) -> 'WireSighting':
+        """Return a sighting as it is sent."""
+        member = sighting.member
+        age_ms = round(sighting.age_ms)
+        return cls(member.name, member.address, member.data_centre, age_ms)
+
+    @property
+    def sighting(self) -> Sighting:
+        """Return the sighting that was sent."""
+        member = Member(self.name, self.address, self.data_centre)
+        return Sighting(member, self.age_ms)
+
+
+_DECODER = msgspec.json.Decoder(PeerMessage)
+
 
 def encode_message(message: PeerMessage) -> bytes:
     """Return a message as bytes."""
@@ -42,6 +75,6 @@
 def decode_message(text: bytes) -> PeerMessage | None:
     """Return the message, or None if it can't be read."""
     try:
-        return msgspec.json.decode(text, type=PeerMessage)
+        return _DECODER.decode(text)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -8,6 +8,7 @@
     Acquaintances,
     Batch,
     Member,
+    Sighting,
     chosen_watchers,
     rank_names,
 )
@@ -21,6 +22,7 @@
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._peer_wire import (
     PeerMessage,
+    WireSighting,
     decode_message,
     encode_message,
 )
@@ -128,8 +130,9 @@
             for member in members:
                 self._start_exchange(member.address)
 
-    def _start_exchange(self, address: str) -> None:
-        exchange = asyncio.get_running_loop().create_task(self._exchange(address))
+    def _start_exchange(self, address: str, names_all: bool = False) -> None:
+        work = self._exchange(address, names_all)
+        exchange = asyncio.get_running_loop().create_task(work)
         self._running.add(exchange)
         exchange.add_done_callback(self._running.discard)
 
@@ -156,16 +159,20 @@
             )
             self._live = live
 
-    async def _exchange(self, address: str) -> bool:
-        body = encode_message(self._message(None))
+    async def _exchange(self, address: str, names_all: bool = False) -> bool:
+        body = encode_message(self._message(None, names_all))
         head = (
             f'POST {PATH} HTTP/1.1\r\nHost: {address}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
         reply = await self._pool(address).ask(head.encode() + body, TIMEOUT_MS)
         message = decode_message(reply.body) if isinstance(reply, HttpAnswer) else None
-        self._hear(message)
-        return message is not None
+        if message is None:
+            return False
+        knows_more = not self._hear(message)
+        if knows_more and not names_all:
+            self._start_exchange(address, names_all=True)
+        return True
 
     def _pool(self, address: str) -> ConnectionPool:
         known = self._pools.get(address)
@@ -177,40 +184,47 @@
     def _take(self, request: HttpRequest) -> None:
         message = decode_message(request.body)
         if message is None:
+            self.log.write('members', 'unreadable', bytes=len(request.body))
             request.answer(400, [], b'')
             return
-        self._hear(message)
+        is_same_roster = self._hear(message)
         if message.revision > self.knowledge.mirror.revision:
             self._start_exchange(message.address)
         batch = None
         mirror = self.knowledge.mirror
         if message.revision < mirror.revision:
             batch = mirror.since(message.revision)
-        answer = encode_message(self._message(batch))
+        answer = encode_message(self._message(batch, names_all=not is_same_roster))
         request.answer(200, [('Content-Type', 'application/json')], answer)
 
-    def _message(self, batch: Batch | None) -> PeerMessage:
+    def _message(self, batch: Batch | None, names_all: bool) -> PeerMessage:
         now_ms = self.now_ms()
+        sightings = self.known.sightings(now_ms) if names_all else ()
+        own = self.known.own
         return PeerMessage(
-            self.known.own.name,
-            self.known.own.address,
-            self.known.own.data_centre,
+            own.name,
+            own.address,
+            own.data_centre,
             self.knowledge.mirror.revision,
             self.knowledge.confirmed_age_ms(now_ms),
-            () if self._is_leaving else self.known.sightings(now_ms),
+            self.known.census(now_ms),
+            tuple(WireSighting.of(sighting) for sighting in sightings),
             batch,
             self._is_leaving,
         )
 
-    def _hear(self, message: PeerMessage | None) -> None:
-        if message is None:
-            return
+    def _hear(self, message: PeerMessage) -> bool:
+        """Take what a peer says; tell whether it knows the same members."""
         now_ms = self.now_ms()
-        self.known.hear(message.sightings, now_ms)
         if message.is_leaving:
             self.known.left(message.name)
+            return True
+        self.known.hear((Sighting(message.sender, 0),), now_ms)
+        self.known.hear((seen.sighting for seen in message.sightings), now_ms)
+        is_same_roster = self.known.hear_ages(message.census, now_ms)
         heard = Heard(message.name, message.age_ms)
         if message.batch is None:
             self.knowledge.confirm(message.revision, heard, now_ms)
         elif self.knowledge.take(message.batch, heard, now_ms):
             self.spread(message.data_centre == self.known.own.data_centre)
+        return is_same_roster
--- a/cowsliploom/members/__init__.py
+++ b/cowsliploom/members/__init__.py
@@ -1,6 +1,7 @@
 """Who the members of the fleet are, who does which job, and what they tell."""
 
 from cowsliploom.members._acquaintances import Acquaintances as Acquaintances
+from cowsliploom.members._acquaintances import Census as Census
 from cowsliploom.members._acquaintances import Sighting as Sighting
 from cowsliploom.members._members import Member as Member
 from cowsliploom.members._members import MemberState as MemberState
--- a/cowsliploom/members/_acquaintances.py
+++ b/cowsliploom/members/_acquaintances.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import xxhash
+
 from cowsliploom.members._members import Member
 
 LIVE_MS = 4000.0  # silence after which a member no longer counts
@@ -28,6 +30,38 @@
     age_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Census:
+    """Tell the ages of all sightings without naming the members.
+
+    Parameters
+    ----------
+    digest : int
+        Digest of the members; who has the same one knows the same members.
+    ages_ms : tuple of int
+        Time since each member spoke, in the order of the names.
+    """
+
+    digest: int
+    ages_ms: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """Hold the names of the members in order, and a digest of who they are."""
+
+    names: tuple[str, ...]
+    digest: int
+
+
+def make_roster(members: Iterable[Member]) -> Roster:
+    """Return the roster of some members."""
+    known = sorted((one.name, one.address, one.data_centre) for one in members)
+    text = '\n'.join('\t'.join(fields) for fields in known)
+    names = tuple(fields[0] for fields in known)
+    return Roster(names, xxhash.xxh3_64_intdigest(text.encode()))
+
+
 class Acquaintances:
     """Hold who has been alive lately, by own exchanges and by hearsay.
 
@@ -60,26 +94,38 @@
         self._random = random.Random(seed)
         self._seen_ms: dict[str, float] = {}
         self._members: dict[str, Member] = {}
+        self._roster: Roster | None = None
 
     def hear(self, sightings: Iterable[Sighting], now_ms: float) -> tuple[str, ...]:
         """Take sightings and return the names that are new."""
         fresh = []
         for sighting in sightings:
             member = sighting.member
-            if member.name == self.own.name:
+            if member.name == self.own.name or sighting.age_ms > FORGET_MS:
                 continue
             self.has_heard = True
             if self._take(member, now_ms - sighting.age_ms):
                 fresh.append(member.name)
         return tuple(fresh)
 
+    def hear_ages(self, census: Census, now_ms: float) -> bool:
+        """Take the ages of a census; tell whether it is of the same members."""
+        roster = self._current_roster(now_ms)
+        if census.digest != roster.digest or len(census.ages_ms) != len(roster.names):
+            return False
+        for name, age_ms in zip(roster.names, census.ages_ms):
+            if name != self.own.name:
+                self._seen_ms[name] = max(self._seen_ms[name], now_ms - age_ms)
+        return True
+
     def left(self, name: str) -> None:
         """Forget a member that has said that it leaves."""
         self._seen_ms.pop(name, None)
         self._members.pop(name, None)
+        self._roster = None
 
     def sightings(self, now_ms: float) -> tuple[Sighting, ...]:
-        """Return what to tell a partner, this daemon included."""
+        """Return all that is known of the members, this daemon included."""
         self._forget(now_ms)
         others = (
             Sighting(member, now_ms - self._seen_ms[name])
@@ -87,6 +133,16 @@
         )
         return (Sighting(self.own, 0), *others)
 
+    def census(self, now_ms: float) -> Census:
+        """Return the ages of all sightings, for a partner that knows the members."""
+        roster = self._current_roster(now_ms)
+        return Census(
+            roster.digest,
+            tuple(
+                round(now_ms - self._seen_ms.get(name, now_ms)) for name in roster.names
+            ),
+        )
+
     def live(self, now_ms: float) -> tuple[Member, ...]:
         """Return the members that were alive lately, this daemon included."""
         others = (
@@ -124,15 +180,22 @@
         return self._random.choice(others).address if others else None
 
     def _take(self, member: Member, seen_ms: float) -> bool:
+        """Believe the latest word; a member that starts again has the latest."""
         known = self._members.get(member.name)
-        if known is not None and member.incarnation < known.incarnation:
-            return False
-        self._members[member.name] = member
-        self._seen_ms[member.name] = max(
-            seen_ms, self._seen_ms.get(member.name, seen_ms)
-        )
+        known_ms = self._seen_ms.get(member.name, seen_ms)
+        self._seen_ms[member.name] = max(seen_ms, known_ms)
+        if known != member and seen_ms >= known_ms:
+            self._members[member.name] = member
+            self._roster = None
         return known is None
 
+    def _current_roster(self, now_ms: float) -> Roster:
+        self._forget(now_ms)
+        if self._roster is None:
+            members = {**self._members, self.own.name: self.own}
+            self._roster = make_roster(members.values())
+        return self._roster
+
     def _forget(self, now_ms: float) -> None:
         old = [
             name
