Answer in time for the caller's way and for a loop that is behind

Cause: an answer went out 5 ms before its target whatever its way took. Change: the margin is 3 ms, the round trip that the kernel knows of the caller's connection (twice on a new one), and twice the lateness of the loop's timers (their 0.8 quantile), at most a quarter of the target. Ruled out: a larger fixed margin (costs parts where the way is short).

--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -9,7 +9,12 @@
 
 import httptools
 
-from cowsliploom.dataplane._sockets import HeaderList, end_when_silent, split_address
+from cowsliploom.dataplane._sockets import (
+    HeaderList,
+    end_when_silent,
+    round_trip_ms,
+    split_address,
+)
 from cowsliploom.forwarding import CallerLimits
 
 MS_PER_S = 1000
@@ -43,6 +48,7 @@
     arrived_ms: float
     keep_alive: bool
     connection: 'ServerConnection'
+    path_ms: float = 0
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> bool:
         """Answer; False when the caller has gone."""
@@ -80,6 +86,8 @@
         self._reading = False
         self._rejected = False
         self.since_ms: float = 0
+        self._round_trip_ms: float = 0
+        self._is_new = True
 
     @property
     def is_idle(self) -> bool:
@@ -94,6 +102,7 @@
         raw = transport.get_extra_info('socket')
         if raw is not None:
             end_when_silent(raw)
+            self._round_trip_ms = round_trip_ms(raw)
         self.since_ms = self._server.now_ms()
         self._server.connections.add(self)
 
@@ -176,6 +185,7 @@
             now_ms,
             self._parser.should_keep_alive(),
             self,
+            self._take_path_ms(),
         )
         self._waiting.append(request)
         if len(self._waiting) > PIPELINE_MAX and self._transport is not None:
@@ -217,6 +227,12 @@
             if waited_ms > limits.header_timeout_ms:
                 self._reject(408)
 
+    def _take_path_ms(self) -> float:
+        """Return what the way takes; a new connection has cost one round trip more."""
+        trips = 2 if self._is_new else 1
+        self._is_new = False
+        return trips * self._round_trip_ms
+
     def _next(self) -> None:
         if self._current is not None or not self._waiting:
             return
--- a/cowsliploom/dataplane/_sockets.py
+++ b/cowsliploom/dataplane/_sockets.py
@@ -1,6 +1,7 @@
 """What listeners and kept connections share: addresses, headers, socket options."""
 
 import socket
+import struct
 
 HeaderList = list[tuple[str, str]]
 
@@ -9,6 +10,9 @@
 PROBE_GAP_S = 1
 PROBES_MAX = 2
 MS_PER_S = 1000
+US_PER_MS = 1000
+TCP_INFO_BYTES = 104
+ROUND_TRIP_AT = 68  # of the smoothed round trip in Linux's tcp_info, in microseconds
 
 
 def end_when_silent(raw: socket.socket, timeout_ms: int = SILENT_TIMEOUT_MS) -> None:
@@ -29,6 +33,18 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def round_trip_ms(raw: socket.socket) -> float:
+    """Return the round trip as the kernel knows it; 0 where it doesn't tell."""
+    try:
+        known = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return 0
+    if len(known) < ROUND_TRIP_AT + 4:
+        return 0
+    round_trip_us: int = struct.unpack_from('I', known, ROUND_TRIP_AT)[0]
+    return round_trip_us / US_PER_MS
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``host:port``.
 
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -16,6 +16,7 @@
 
 RETRY_SPREAD = 0.5  # callers that are refused together come back apart
 LATENCY_DEFAULT_SHARE = 0.3  # of the target, until there are samples
+LATENESS_QUANTILE = 0.8
 ROUTES_KEPT = 512  # latencies remembered; routes come and go
 
 
@@ -68,6 +69,16 @@
         self._budgets: dict[str, ExtraBudget] = {}
         self._latencies: dict[str, RecentLatency] = {}
         self._turns = WeightedTurns(self._random)
+        self._lateness = RecentLatency(default_ms=0)
+
+    @property
+    def lateness_ms(self) -> float:
+        """Return how late this process usually comes to what is due."""
+        return self._lateness.quantile(LATENESS_QUANTILE)
+
+    def note_lateness(self, late_ms: float) -> None:
+        """Note how late something that was due has been looked at."""
+        self._lateness.add(max(0, late_ms))
 
     def take_table(self, table: RouteTable) -> bool:
         """Take a table of a higher version; tell whether it was."""
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -33,6 +33,11 @@
 
     fleet: Fleet
 
+    @property
+    def lateness_ms(self) -> float:
+        """Return how late this process usually comes to what is due."""
+        ...
+
     def next_call_id(self) -> int:
         """Return an id that no call had."""
         ...
@@ -78,7 +83,7 @@
         self.due_ms = request.arrived_ms
         self._desk = desk
         self._calls: dict[int, Work] = {}
-        self._times = timeline(request, route)
+        self._times = timeline(request, route, desk.lateness_ms)
         self._latency = desk.latency(route)
         self._pace = Pace(route, self._times, self._latency)
         self._verdict = Verdict(route, works, self._times, desk.retry_after_ms)
--- a/cowsliploom/forwarding/_messages.py
+++ b/cowsliploom/forwarding/_messages.py
@@ -29,6 +29,8 @@
         When the last byte was read.
     patience_ms : float
         How long the caller waits from then on.
+    path_ms : float
+        What the way from and to the caller takes of its time, by its connection.
     """
 
     request_id: str
@@ -39,6 +41,7 @@
     body: bytes
     arrived_ms: float
     patience_ms: float
+    path_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliploom/forwarding/_verdict.py
+++ b/cowsliploom/forwarding/_verdict.py
@@ -16,7 +16,8 @@
 from cowsliploom.forwarding._routes import Gather, Route
 from cowsliploom.forwarding._work import Work
 
-ANSWER_MARGIN_MS = 5.0  # the caller's path, and the time to write
+ANSWER_MARGIN_MS = 3.0  # the time to merge and to write
+ANSWER_MARGIN_SHARE = 0.25  # of the target, at the most
 FINAL_MARGIN_MS = 25.0  # before the caller gives up
 FINAL_MARGIN_SHARE = 0.1  # of a short patience
 UNOFFERED_SHARE = 0.2  # of the target; a request held longer unsent is refused
@@ -49,14 +50,29 @@
     end_ms: float
 
 
-def timeline(request: CallerRequest, route: Route) -> Timeline:
-    """Return the moments of a request on its route."""
+def timeline(request: CallerRequest, route: Route, lateness_ms: float) -> Timeline:
+    """Return the moments of a request on its route.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request, with what its way takes.
+    route : Route
+        Its route.
+    lateness_ms : float
+        How late this process comes to what is due. The request has waited for that
+        long before it was read, and its answer will.
+    """
     arrived_ms = request.arrived_ms
+    answer_margin_ms = min(
+        ANSWER_MARGIN_MS + request.path_ms + 2 * lateness_ms,
+        route.target_ms * ANSWER_MARGIN_SHARE,
+    )
     patience_ms = min(request.patience_ms, route.timeout_ms)
     margin_ms = min(FINAL_MARGIN_MS, patience_ms * FINAL_MARGIN_SHARE)
     return Timeline(
         offer_ms=arrived_ms + route.target_ms * UNOFFERED_SHARE,
-        answer_ms=arrived_ms + min(route.target_ms, patience_ms) - ANSWER_MARGIN_MS,
+        answer_ms=arrived_ms + min(route.target_ms, patience_ms) - answer_margin_ms,
         limit_ms=arrived_ms + patience_ms - margin_ms,
         end_ms=arrived_ms + patience_ms,
     )
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -59,7 +59,12 @@
     def take(self, http: HttpRequest) -> Callable[[], None] | None:
         """Take a caller's request; return what to call if the caller leaves."""
         request = platform.read_request(
-            http.method, http.target, http.headers, http.body, http.arrived_ms
+            http.method,
+            http.target,
+            http.headers,
+            http.body,
+            http.arrived_ms,
+            http.path_ms,
         )
         opened = self.desk.open(request)
         if isinstance(opened, TurnAway):
@@ -202,7 +207,9 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._step(Ticked(self._owner.now_ms()))
+        now_ms = self._owner.now_ms()
+        self._owner.desk.note_lateness(now_ms - self._timer_ms)
+        self._step(Ticked(now_ms))
 
 
 def _render(request_id: str, reply: Reply | None) -> platform.WireReply | None:
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -54,7 +54,12 @@
 
 
 def read_request(
-    method: str, target: str, headers: HeaderList, body: bytes, arrived_ms: float
+    method: str,
+    target: str,
+    headers: HeaderList,
+    body: bytes,
+    arrived_ms: float,
+    path_ms: float = 0,
 ) -> CallerRequest:
     """Decode a caller's request.
 
@@ -68,6 +73,8 @@
         Whole body.
     arrived_ms : float
         When the last byte was read.
+    path_ms : float
+        What the way from and to the caller takes of its time. Default 0.
     """
     marks = {name.lower(): header for name, header in headers}
     return CallerRequest(
@@ -79,6 +86,7 @@
         body,
         arrived_ms,
         _patience(marks.get(PATIENCE, '')),
+        path_ms,
     )
 
 
