Share queries of many shards out among the members of a data centre

Change: a query of 40 shards or more is divided into shares of 8 (rendezvous, each member at most one), which other members of the data centre ask for, report together by the hedge's moment and then part by part. The asking daemon keeps hedges, retries and the bound on attempts: a relay asks a shard once more only if it has certainly not run. A report is merged, so it is taken whole, also over a quicker hedge. Frames of msgpack on one kept connection a pair. On real processes a killed or stopped relay costs no part and no third run of a shard. Sites of 20 shards are asked directly as before.

--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -1,5 +1,9 @@
 """HTTP/1.1 on the event loop: listeners for callers, kept connections to servers."""
 
+from cowsliploom.dataplane._frames import FrameConnection as FrameConnection
+from cowsliploom.dataplane._frames import FrameListener as FrameListener
+from cowsliploom.dataplane._frames import open_frames as open_frames
+
 from cowsliploom.dataplane._client import CallResult as CallResult
 from cowsliploom.dataplane._client import ConnectionPool as ConnectionPool
 from cowsliploom.dataplane._client import HttpAnswer as HttpAnswer
--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from cowsliploom.forwarding._fleet import Fleet as Fleet
 from cowsliploom.forwarding._fleet import ServerChange as ServerChange
 from cowsliploom.forwarding._fleet import calls_max as calls_max
+from cowsliploom.forwarding._messages import AskRelay as AskRelay
 from cowsliploom.forwarding._messages import BackendAnswer as BackendAnswer
 from cowsliploom.forwarding._messages import CallAnswered as CallAnswered
 from cowsliploom.forwarding._messages import CallerLeft as CallerLeft
@@ -19,7 +20,11 @@
 from cowsliploom.forwarding._messages import Gathered as Gathered
 from cowsliploom.forwarding._messages import Headers as Headers
 from cowsliploom.forwarding._messages import Outcome as Outcome
+from cowsliploom.forwarding._messages import PartMissed as PartMissed
+from cowsliploom.forwarding._messages import PartsRelayed as PartsRelayed
 from cowsliploom.forwarding._messages import PassOn as PassOn
+from cowsliploom.forwarding._messages import RelayAsked as RelayAsked
+from cowsliploom.forwarding._messages import RelayedCall as RelayedCall
 from cowsliploom.forwarding._messages import Reply as Reply
 from cowsliploom.forwarding._messages import SendCall as SendCall
 from cowsliploom.forwarding._messages import Ticked as Ticked
@@ -28,6 +33,11 @@
 from cowsliploom.forwarding._reach import out_of_own_reach as out_of_own_reach
 from cowsliploom.forwarding._reach import out_of_reach as out_of_reach
 from cowsliploom.forwarding._records import merge_records as merge_records
+from cowsliploom.forwarding._relay_plan import RelayShare as RelayShare
+from cowsliploom.forwarding._relay_plan import plan_relays as plan_relays
+from cowsliploom.forwarding._relayed import RelayedPart as RelayedPart
+from cowsliploom.forwarding._relayed import RelayedShare as RelayedShare
+from cowsliploom.forwarding._relayed import RelayReport as RelayReport
 from cowsliploom.forwarding._routes import CallerLimits as CallerLimits
 from cowsliploom.forwarding._routes import Gather as Gather
 from cowsliploom.forwarding._routes import Route as Route
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -10,13 +10,19 @@
 from cowsliploom.forwarding._fleet import Fleet, calls_max
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import CallerRequest, Outcome, TurnAway
-from cowsliploom.forwarding._routes import Route, RouteTable
+from cowsliploom.forwarding._relay_plan import RelayShare, plan_relays
+from cowsliploom.forwarding._relayed import RelayedShare, share_route
+from cowsliploom.forwarding._routes import Gather, Route, RouteTable
+from cowsliploom.forwarding._servers import Server, ServerRecord, ServerState
 from cowsliploom.forwarding._weights import WeightedTurns
 from cowsliploom.forwarding._work import Progress, Work
+from cowsliploom.members import Member
 
 RETRY_SPREAD = 0.5  # callers that are refused together come back apart
 LATENCY_DEFAULT_SHARE = 0.3  # of the target, until there are samples
 LATENESS_QUANTILE = 0.8
+RELAY_SLOTS = 64  # a relay has no slots; it is never called full
+SHARE_SHARERS = 12  # relays, a few in each data centre, that call a server
 ROUTES_KEPT = 512  # latencies remembered; routes come and go
 
 
@@ -39,6 +45,15 @@
     window_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    """Remember how a route's shards are shared among members."""
+
+    route: Route
+    members: tuple[Member, ...]
+    shares: tuple[RelayShare, ...]
+
+
 class ForwardingDesk:
     """Own the route table, the fleet and the budgets.
 
@@ -68,7 +83,10 @@
         self._call_ids = itertools.count(1)
         self._budgets: dict[str, ExtraBudget] = {}
         self._latencies: dict[str, RecentLatency] = {}
+        self.near_members: Callable[[], tuple[Member, ...]] = tuple
         self._turns = WeightedTurns(self._random)
+        self._relays: dict[str, Server] = {}
+        self._plans: dict[str, _Plan] = {}
         self._lateness = RecentLatency(default_ms=0)
 
     @property
@@ -85,6 +103,7 @@
         if table.version <= self.table.version:
             return False
         self.table = table
+        self._plans = {}
         self._turns.keep(table.routes)
         return True
 
@@ -97,7 +116,39 @@
         route = self.table.find(request.host, request.target)
         if route is None:
             return TurnAway(Outcome.NO_ROUTE, 'no route for this host and path')
-        return Exchange(self, request, route, self._works(route))
+        works = self._works(route)
+        for work in works:
+            work.budget.earn(request.arrived_ms)
+        shares = self._shares(route, request.arrived_ms)
+        return Exchange(self, request, route, works, shares)
+
+    def open_share(
+        self, request: CallerRequest, name: str, gather: Gather, report_ms: float
+    ) -> RelayedShare:
+        """Return the share of another entry VM's query.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        name : str
+            Name of its route.
+        gather : Gather
+            Shards of the share.
+        report_ms : float
+            When what has come is to be told.
+        """
+        route = share_route(name, gather, request.patience_ms)
+        works = self._works(route, SHARE_SHARERS)
+        return RelayedShare(self, request, route, works, report_ms)
+
+    def relay(self, share: RelayShare, now_ms: float) -> Server:
+        """Return the relay of a share, tracked like a server."""
+        known = self._relays.get(share.relay.name)
+        if known is None or known.record.address != share.relay.address:
+            known = Server(_relay_record(share.relay), now_ms, self.fleet.tell)
+            self._relays[share.relay.name] = known
+        return known
 
     def next_call_id(self) -> int:
         """Return an id that no call had."""
@@ -117,19 +168,50 @@
         """Return a time to come back that spreads callers."""
         return usual_ms * self._random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
 
-    def _works(self, route: Route) -> tuple[Work, ...]:
+    def _shares(self, route: Route, now_ms: float) -> tuple[RelayShare, ...]:
+        """Return the shares of relays that answer; the rest is asked directly."""
+        members = self.near_members()
+        if route.gather is None or not members:
+            return ()
+        plan = self._plans.get(route.name)
+        if plan is None or plan.members != members or plan.route is not route:
+            shares = plan_relays(route.gather.shards, members)
+            plan = _Plan(route, members, shares)
+            self._plans = {**self._plans, route.name: plan}
+        return tuple(
+            share
+            for share in plan.shares
+            if not self.relay(share, now_ms).is_resting(now_ms)
+        )
+
+    def _works(self, route: Route, sharers: int = 0) -> tuple[Work, ...]:
         progress = Progress()
         if route.gather is not None:
             shards = route.gather.shards
-            return tuple(self._work(shard, progress) for shard in shards)
-        return (self._work(self._turns.next_service(route), progress),)
+            return tuple(self._work(shard, progress, sharers) for shard in shards)
+        return (self._work(self._turns.next_service(route), progress, sharers),)
 
-    def _work(self, service: str, progress: Progress) -> Work:
+    def _work(self, service: str, progress: Progress, sharers: int) -> Work:
         budget = self._budgets.get(service)
         if budget is None:
             rules = self.budget_rules
             budget = ExtraBudget(rules.ratio, rules.extra, rules.window_ms)
             self._budgets[service] = budget
         rules_of_service = self.table.rules(service)
-        allowed = calls_max(rules_of_service.connections_max, self.fleet.sharers)
+        sharers = sharers or self.fleet.sharers
+        allowed = calls_max(rules_of_service.connections_max, sharers)
         return Work(service, budget, allowed, progress)
+
+
+def _relay_record(member: Member) -> ServerRecord:
+    return ServerRecord(
+        name=member.name,
+        service='relay',
+        address=member.address,
+        data_centre=member.data_centre,
+        version='',
+        slots=RELAY_SLOTS,
+        state=ServerState.READY,
+        cold_ms=0,
+        sequence=0,
+    )
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -6,6 +6,7 @@
 from cowsliploom.forwarding._fleet import CallLimits, Fleet
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import (
+    AskRelay,
     CallAnswered,
     CallerLeft,
     CallerRequest,
@@ -14,18 +15,26 @@
     Command,
     DropCall,
     ExchangeEvent,
+    PartMissed,
+    PartsRelayed,
+    RelayAsked,
+    RelayedCall,
     Reply,
     SendCall,
     Ticked,
 )
 from cowsliploom.forwarding._pace import Pace
+from cowsliploom.forwarding._relay_plan import RelayShare
 from cowsliploom.forwarding._routes import Route
+from cowsliploom.forwarding._servers import Server
 from cowsliploom.forwarding._verdict import Verdict, timeline
 from cowsliploom.forwarding._work import Attempt, Work
 
 WAIT_STEP_MS = 4.0  # between two looks for a server with room
 TRAIL_MS = 300.0  # a call that nobody needs may end by itself within this time
 PATIENCE_MIN_MS = 2.0
+RELAY_LEAD_MS = 6.0  # a relay reports this long before what is missing is hedged
+REPORT_MIN_MS = 2.0
 
 
 class Desk(Protocol):
@@ -46,11 +55,23 @@
         """Return the recent latency of a route's calls."""
         ...
 
+    def relay(self, share: RelayShare, now_ms: float) -> Server:
+        """Return the relay of a share, tracked like a server."""
+        ...
+
     def retry_after_ms(self, usual_ms: float) -> float:
         """Return a time to come back that spreads callers."""
         ...
 
 
+class Concluder(Protocol):
+    """Judge whether a request is answered now."""
+
+    def conclude(self, now_ms: float) -> Reply | None:
+        """Return the reply if there is one by now."""
+        ...
+
+
 class Exchange:
     """Play one request: send, hedge, retry, and answer in time.
 
@@ -64,6 +85,10 @@
         Its route, of the version that was in force when it came.
     works : tuple of Work
         One for each service that is asked.
+    shares : tuple of RelayShare
+        Shards that relays ask. Default none.
+    verdict : Concluder or None
+        Judge; by default the one that answers callers.
     """
 
     def __init__(
@@ -72,6 +97,8 @@
         request: CallerRequest,
         route: Route,
         works: tuple[Work, ...],
+        shares: tuple[RelayShare, ...] = (),
+        verdict: Concluder | None = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -86,7 +113,10 @@
         self._times = timeline(request, route, desk.lateness_ms)
         self._latency = desk.latency(route)
         self._pace = Pace(route, self._times, self._latency)
-        self._verdict = Verdict(route, works, self._times, desk.retry_after_ms)
+        self._shares = shares
+        self._verdict = verdict or Verdict(
+            route, works, self._times, desk.retry_after_ms
+        )
 
     @property
     def is_over(self) -> bool:
@@ -102,6 +132,12 @@
                 commands.extend(self._answered(event))
             case CallFailed():
                 commands.extend(self._failed(event))
+            case PartsRelayed():
+                self._take_relayed(event)
+            case PartMissed():
+                commands.extend(self._missed(event))
+            case RelayAsked():
+                self._note_asked(event)
             case CallerLeft():
                 self.is_left = True
                 return list(self._drop_all())
@@ -117,10 +153,13 @@
 
     def start(self, now_ms: float) -> list[Command]:
         """Send the first calls."""
+        commands: list[Command] = [
+            self._ask_relay(share, now_ms) for share in self._shares
+        ]
         for work in self.works:
-            work.budget.earn(now_ms)
-            work.waits_until_ms = now_ms
-        return self.step(Ticked(now_ms))
+            if not work.open:
+                work.waits_until_ms = now_ms
+        return commands + self.step(Ticked(now_ms))
 
     # What came back.
 
@@ -164,6 +203,34 @@
             work.did_not_run(attempt, rejected=False)
         yield from self._again(work, now_ms)
 
+    def _take_relayed(self, event: PartsRelayed) -> None:
+        for call_id, answer in event.answers:
+            work, attempt = self._close(call_id)
+            if work is None or attempt is None:
+                continue
+            elapsed_ms = event.now_ms - attempt.sent_ms
+            attempt.server.heard_ms = event.now_ms
+            attempt.server.succeeded(elapsed_ms)
+            self._latency.add(elapsed_ms)
+            work.put_part(answer)
+
+    def _missed(self, event: PartMissed) -> Iterator[Command]:
+        work, attempt = self._close(event.call_id)
+        if work is None or attempt is None:
+            return
+        attempt.server.heard_ms = event.now_ms
+        if not event.may_have_run:
+            work.did_not_run(attempt, rejected=False)
+        yield from self._again(work, event.now_ms)
+
+    def _note_asked(self, event: RelayAsked) -> None:
+        for call_id, server in event.servers:
+            work = self._calls.get(call_id)
+            if work is None or not server:
+                continue
+            work.tried.add(server)
+            work.open[call_id].server.heard_ms = event.now_ms
+
     def _close(self, call_id: int) -> tuple[Work | None, Attempt | None]:
         work = self._calls.pop(call_id, None)
         if work is None:
@@ -174,6 +241,27 @@
 
     # What to send.
 
+    def _ask_relay(self, share: RelayShare, now_ms: float) -> Command:
+        relay = self._desk.relay(share, now_ms)
+        calls = []
+        for work in self.works:
+            if work.service in share.shards:
+                call_id = self._desk.next_call_id()
+                work.sent(call_id, Attempt(relay, now_ms))
+                relay.sent(call_id, now_ms)
+                self._calls[call_id] = work
+                calls.append(RelayedCall(call_id, work.service))
+        gather = self.route.gather
+        report_ms = self._pace.hedge_delay_ms() - RELAY_LEAD_MS
+        return AskRelay(
+            relay,
+            tuple(calls),
+            self.route.name,
+            gather.records_max if gather else 0,
+            max(PATIENCE_MIN_MS, self._times.end_ms - now_ms),
+            max(REPORT_MIN_MS, report_ms),
+        )
+
     def _again(self, work: Work, now_ms: float) -> Iterator[Command]:
         """Send a work's call once more, where that is allowed."""
         if not work.is_open or self.reply is not None or self.is_left:
@@ -260,4 +348,6 @@
 
 def _is_part(event: ExchangeEvent) -> bool:
     """Tell whether an event is a good answer, which makes nothing due sooner."""
+    if isinstance(event, PartsRelayed | RelayAsked):
+        return True
     return isinstance(event, CallAnswered) and event.answer.is_good
--- a/cowsliploom/forwarding/_messages.py
+++ b/cowsliploom/forwarding/_messages.py
@@ -130,7 +130,49 @@
     now_ms: float
 
 
-ExchangeEvent = CallAnswered | CallFailed | CallerLeft | Ticked
+@dataclass(frozen=True, slots=True)
+class PartsRelayed:
+    """Take the answers to several calls that a relay has merged.
+
+    Parameters
+    ----------
+    now_ms : float
+        Time by the own steady clock.
+    answers : tuple of (int, BackendAnswer)
+        Call and answer; the first holds the greatest records of them all, so they
+        are taken together.
+    """
+
+    now_ms: float
+    answers: tuple[tuple[int, BackendAnswer], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartMissed:
+    """Take the word of a relay that a call came to nothing."""
+
+    now_ms: float
+    call_id: int
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAsked:
+    """Take the word of a relay on which server it asked for each call."""
+
+    now_ms: float
+    servers: tuple[tuple[int, str], ...]
+
+
+ExchangeEvent = (
+    CallAnswered
+    | CallFailed
+    | CallerLeft
+    | Ticked
+    | PartsRelayed
+    | PartMissed
+    | RelayAsked
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +184,42 @@
     patience_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedCall:
+    """Name one call of a share, and the shard that it is for."""
+
+    call_id: int
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskRelay:
+    """Let a relay send the request to the servers of some shards.
+
+    Parameters
+    ----------
+    relay : Server
+        The relay, tracked like a server.
+    calls : tuple of RelayedCall
+        One for each shard.
+    route : str
+        Name of the request's route.
+    records_max : int
+        Greatest records that are needed.
+    patience_ms : float
+        Time that servers have.
+    report_after_ms : float
+        When what has come is to be told.
+    """
+
+    relay: Server
+    calls: tuple[RelayedCall, ...]
+    route: str
+    records_max: int
+    patience_ms: float
+    report_after_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class DropCall:
     """Close the connection of a call whose answer nobody needs."""
@@ -207,4 +285,4 @@
 
 
 Reply = PassOn | Gathered | TurnAway
-Command = SendCall | DropCall | PassOn | Gathered | TurnAway
+Command = SendCall | AskRelay | DropCall | PassOn | Gathered | TurnAway
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -119,6 +119,17 @@
             self.ended_by = reason
             self.progress.ended += 1
 
+    def put_part(self, part: BackendAnswer) -> None:
+        """Take a part that was merged with others, whatever there was before."""
+        if self.ended_by:
+            self.ended_by = ''
+            self.progress.ended -= 1
+            self.progress.parts += 1
+        elif self.is_open:
+            self.progress.parts += 1
+        self.is_open = False
+        self.part = part
+
     def take_part(self, part: BackendAnswer) -> None:
         """Take the service's answer, unless there is one or it came too late."""
         if self.is_open:
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -6,14 +6,16 @@
 from pathlib import Path
 
 from cowsliploom.members import Acquaintances, Member
-from cowsliploom.dataplane import HttpListener, HttpRequest
+from cowsliploom.dataplane import FrameListener, HttpListener, HttpRequest
 from cowsliploom.forwarding import CallerLimits, ForwardingDesk
+from cowsliploom.gateway._calls import ServerPools
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._forwarder import Forwarder
 from cowsliploom.gateway._isolation import Isolation
 from cowsliploom.gateway._knowledge import Knowledge
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._peers import Peers
+from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
 from cowsliploom.gateway._store_watch import StoreWatch
 from cowsliploom.platform import (
@@ -56,7 +58,11 @@
             self.settings.budget, self._seed, self.settings.data_centre, self._owns
         )
         self._knowledge = Knowledge(self._desk, self.log)
-        self._forwarder = Forwarder(self._desk, RequestLog(self.log, self.figures))
+        self._pools = ServerPools(self._desk)
+        self._relays = Relays(self._pools, self.settings.relays_address, self.log)
+        self._forwarder = Forwarder(
+            self._pools, self._relays, RequestLog(self.log, self.figures)
+        )
         self._store = PlatformStore(self.settings.store_address)
         own = Member(
             self.settings.name,
@@ -65,6 +71,7 @@
         )
         known = Acquaintances(own, self.settings.seeds, self._seed)
         self._peers = Peers(known, self._knowledge, self.log, self._now_ms)
+        self._desk.near_members = self._peers.near
         self._watch = StoreWatch(
             self._store, self._knowledge, self.log, self._peers, self._seed
         )
@@ -86,20 +93,22 @@
         await self._drain()
         for task in self._tasks:
             task.cancel()
+        self._relays.close()
         for listener in listeners:
             await listener.close()
         self.log.write('daemon', 'stopped', open_requests=self._forwarder.open)
         self.log.close()
 
-    async def _start(self) -> list[HttpListener]:
+    async def _start(self) -> list[HttpListener | FrameListener]:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         host = self.settings.callers_address.rpartition(':')[0]
-        listeners = [
+        listeners: list[HttpListener | FrameListener] = [
             self._callers,
             HttpListener(self.settings.readiness_address, self._tell_ready),
             self._peers.listener,
+            self._relays.listener,
             HttpListener(f'{host}:{METRICS_PORT}', self._tell_figures),
         ]
         for listener in listeners:
@@ -140,7 +149,7 @@
         while True:
             await asyncio.sleep(SWEEP_MS / MS_PER_S)
             self._knowledge.release_held(self._now_ms())
-            self._forwarder.sweep()
+            self._pools.sweep()
             self._callers.is_draining = self._is_draining or self._isolation.is_isolated
 
     def _now_ms(self) -> float:
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -68,6 +68,7 @@
         self._random = random.Random(known.own.name)
         self._pools: dict[str, ConnectionPool] = {}
         self._live: frozenset[str] = frozenset()
+        self._near: tuple[Member, ...] = ()
         self._is_leaving = False
         self._running: set[asyncio.Task[bool]] = set()
 
@@ -136,6 +137,10 @@
         self._running.add(exchange)
         exchange.add_done_callback(self._running.discard)
 
+    def near(self) -> tuple[Member, ...]:
+        """Return the other live members of the own data centre, by name."""
+        return self._near
+
     def owns(self, server: str) -> bool:
         """Tell whether this daemon is the one that may ask a cold server."""
         names = self.known.live_names(self.now_ms())
@@ -146,7 +151,11 @@
         return stale or not self.known.has_heard
 
     def _note_members(self) -> None:
-        live = frozenset(self.known.live_names(self.now_ms()))
+        members = self.known.live(self.now_ms())
+        live = frozenset(member.name for member in members)
+        own = self.known.own
+        near = (one for one in members[1:] if one.data_centre == own.data_centre)
+        self._near = tuple(sorted(near, key=_name))
         sharers = len(live) if self.known.has_heard else UNKNOWN_SHARERS
         self.knowledge.desk.fleet.sharers = sharers
         if live != self._live:
@@ -228,3 +237,7 @@
         elif self.knowledge.take(message.batch, heard, now_ms):
             self.spread(message.data_centre == self.known.own.data_centre)
         return is_same_roster
+
+
+def _name(member: Member) -> str:
+    return member.name
--- a/cowsliploom/platform/_settings.py
+++ b/cowsliploom/platform/_settings.py
@@ -35,7 +35,7 @@
     ----------
     name, data_centre : str
         Name of the entry VM and where it stands.
-    callers_address, readiness_address, peers_address : str
+    callers_address, readiness_address, peers_address, relays_address : str
         Where to listen, as ``host:port``.
     seeds : tuple of str
         Peer addresses of other entry VMs; they may be stale.
@@ -52,6 +52,7 @@
     callers_address: str
     readiness_address: str
     peers_address: str
+    relays_address: str
     seeds: tuple[str, ...]
     store_address: str
     budget: BudgetRules
@@ -98,6 +99,7 @@
         callers_address=_address(fields, 'listen.front'),
         readiness_address=_address(fields, 'listen.ready'),
         peers_address=_address(fields, 'listen.control'),
+        relays_address=_relays_address(fields),
         seeds=tuple(seed for seed in seeds if seed),
         store_address=_address(fields, 'platform.address'),
         budget=BudgetRules(
@@ -133,6 +135,15 @@
     return found
 
 
+def _relays_address(fields: Mapping[str, str]) -> str:
+    """Return the address on the first of the ports that are free for daemons."""
+    host = _address(fields, 'listen.control').rpartition(':')[0]
+    port = _text(fields, 'internalPorts').partition(',')[0]
+    if not port.isdigit():
+        raise SettingsError('internalPorts', port, 'two port numbers')
+    return f'{host}:{port}'
+
+
 def _number(fields: Mapping[str, str], name: str, default: str) -> float:
     found = fields.get(name) or default
     try:
--- a/cowsliploom/platform/tests/test_documents.py
+++ b/cowsliploom/platform/tests/test_documents.py
@@ -61,6 +61,7 @@
 listen.front=10.1.0.9:8104
 listen.ready=10.1.0.9:8108
 listen.control=10.1.0.9:8106
+internalPorts=7380,7395
 seeds=10.1.0.9:8106,10.2.0.21:8106
 platform.address=10.200.1.7:8102
 bounds.retryBudgetRatio=0.2
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -15,6 +15,7 @@
 pytestmark = pytest.mark.processes
 
 SHARDS = ('s0', 's1', 's2', 's3')
+MANY = tuple(f'k{number:02}' for number in range(48))  # so many are shared out
 PLACE = f'127.0.{os.getpid() % 250 + 1}'  # apart for each test process
 START_S = 10
 LATE_S = 0.6  # the target is 0.15 s; the machine may be busy
@@ -44,9 +45,18 @@
         'service': 'one',
         'maxAttempts': 2,
     }
-    services = [{'name': name, 'maxConnections': 26} for name in (*SHARDS, 'one')]
+    many = {
+        **wide,
+        'name': 'many',
+        'prefix': '/many/',
+        'fanoutServices': MANY,
+        'minShardShare': 0.9,
+    }
+    names = (*SHARDS, 'one', *MANY)
+    services = [{'name': name, 'maxConnections': 55} for name in names]
+    routes = [wide, once, many]
     return msgspec.json.encode(
-        {'version': version, 'routes': [wide, once], 'services': services, **extra}
+        {'version': version, 'routes': routes, 'services': services, **extra}
     )
 
 
@@ -60,6 +70,7 @@
             f'listen.front={host}:18100',
             f'listen.ready={host}:18101',
             f'listen.control={host}:18102',
+            'internalPorts=18103,18110',
             f'platform.address={store_address}',
             f'seeds={seeds}',
             'bounds.retryBudgetRatio=0.2',
@@ -90,6 +101,30 @@
         self.store.put('op/config', configuration(3))
         return self
 
+    async def add_many(self):
+        """Start the servers of a query of many shards."""
+        for number, service in enumerate(MANY):
+            content = bytes([100 + number]) * 16
+            backend = UsersBackend(f'i-{service}', service, content)
+            await backend.start()
+            self.backends[service] = backend
+            self.store.put(f'servers/{backend.name}', backend.entry())
+
+    async def shared_fleet(self):
+        """Start gateways that share queries out, and wait until they know all."""
+        await self.add_many()
+        for number in (2, 3, 4, 5, 6):
+            await self.gateway(number, f'{PLACE}.2:18102')
+        for number in (2, 3, 4, 5, 6):
+            await self.ready(number)
+        end = time.monotonic() + START_S
+        while time.monotonic() < end:
+            log = (self.folder / 'vm-2.log').read_text()
+            if '"event":"changed","live":5' in log and 'i-k47' in log:
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError('the gateways have not met')
+
     async def gateway(self, number, seeds=''):
         """Start a gateway."""
         path = self.folder / f'vm-{number}.conf'
@@ -291,3 +326,45 @@
         assert b'listen.front: expected host:port' in told
 
     play(tmp_path, script)
+
+
+def calls_of(world, request_id):
+    """Return how often each shard ran a request."""
+    return [world.backends[shard].ran.count(request_id) for shard in MANY]
+
+
+def test_a_query_of_many_shards_is_shared_out_and_asks_each_once(tmp_path):
+    async def script(world):
+        await world.shared_fleet()
+        for number in range(5):
+            answer = await ask(
+                f'{PLACE}.2:18100', '/many/x?q=1', request_id=f'm-{number}'
+            )
+            headers = dict(answer.headers)
+            assert headers['Missing-Parts'] == '0'
+            assert len(headers['Part-Stamps'].split(', ')) == len(MANY)
+            tops = (147, 146, 145)
+            assert answer.body == b''.join(bytes([top]) * 16 for top in tops)
+        assert set(calls_of(world, 'm-4')) == {1}
+        arrived = world.backends['k07'].arrived[-1]
+        assert arrived['target'] == '/many/x?q=1'
+        assert arrived['target-instance'] == 'i-k07'
+        assert 0 < int(arrived['deadline']) <= 1400
+
+    play(tmp_path, script)
+
+
+@pytest.mark.parametrize('blow', [signal.SIGKILL, signal.SIGSTOP])
+def test_a_lost_relay_costs_no_part_and_no_third_run(tmp_path, blow):
+    async def script(world):
+        await world.shared_fleet()
+        await ask(f'{PLACE}.2:18100', '/many/x')
+        for number in (4, 5):
+            world.processes[number].send_signal(blow)
+        for number in range(8):
+            answer = await ask(f'{PLACE}.2:18100', '/many/x', request_id=f'l-{number}')
+            assert answer.status == 200
+            assert dict(answer.headers)['Missing-Parts'] == '0'
+            assert max(calls_of(world, f'l-{number}')) <= 2
+
+    play(tmp_path, script)
