--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -14,6 +14,7 @@
 FULL_MIN_MS = 8.0  # before a server that shed is asked again
 SILENCE_MIN_MS = 200.0  # a pause is shorter
 SILENCE_RATIO = 4.0
+SAME_CAUSE_MS = 2.0  # calls that fail within this time failed together
 ERROR_SHARE = 0.2  # weight of the newest outcome in the share of failures
 
 
@@ -130,6 +131,7 @@
         self.is_leaving = False
         self.is_gone = False
         self.heard_ms = float('-inf')
+        self._failed_ms = float('-inf')
         self.full_until_ms = float('-inf')
 
     @property
@@ -203,21 +205,22 @@
 
     def failed(self, now_ms: float) -> None:
         """Learn from a failure, and rest the longer the more there were."""
-        self._note_failure()
-        if self.failures > 1:
+        if self._is_news(now_ms) and self.failures > 1:
             self.rest(now_ms)
 
     def unreachable(self, now_ms: float) -> None:
         """Learn from a refused or silent connection; rest at once."""
-        self._note_failure()
-        self.rest(now_ms)
+        if self._is_news(now_ms):
+            self.rest(now_ms)
 
     def rest(self, now_ms: float) -> None:
         """Keep requests off for a while."""
+        rested_before = now_ms < self.rests_until_ms
         rest_ms = RESTED_MIN_MS * 2 ** min(self.failures - 1, 8)
         rest_ms = min(rest_ms, RESTED_MAX_MS)
         self.rests_until_ms = now_ms + rest_ms
-        self._tell(self._belief('rests', rest_ms))
+        if not rested_before:
+            self._tell(self._belief('rests', rest_ms))
 
     def oldest_wait_ms(self, now_ms: float) -> float:
         """Return how long the oldest open call has been waiting."""
@@ -255,9 +258,14 @@
         trouble = (self.error_share + self.shed_share) * self._freshness(now_ms)
         return expected_ms * (1 + 4 * trouble)
 
-    def _note_failure(self) -> None:
+    def _is_news(self, now_ms: float) -> bool:
+        """Note a failure; several at once have one cause and count once."""
+        if now_ms - self._failed_ms < SAME_CAUSE_MS:
+            return False
+        self._failed_ms = now_ms
         self.failures += 1
         self.error_share += (1 - self.error_share) * ERROR_SHARE
+        return True
 
     def _belief(self, belief: str, for_ms: float) -> ServerBelief:
         return ServerBelief(
--- a/cowsliploom/forwarding/tests/test_parts.py
+++ b/cowsliploom/forwarding/tests/test_parts.py
@@ -12,6 +12,7 @@
     ExtraBudget,
     Route,
     RouteTable,
+    Server,
     ServerState,
     WeightedService,
     calls_max,
@@ -180,3 +181,14 @@
     assert server.typical_ms(0, 10) == 200
     assert server.typical_ms(1500, 10) == 105
     assert server.typical_ms(9000, 10) == 10
+
+
+def test_calls_that_fail_together_are_one_failure_and_one_line():
+    told = []
+    server = Server(record('a', 's'), 0, told.append)
+    for _ in range(8):
+        server.unreachable(100)
+    assert server.failures == 1
+    server.unreachable(200)
+    assert server.failures == 2
+    assert [belief.belief for belief in told] == ['rests']
