Ask shards without a server here through members elsewhere, and count what relays had refused

Cause: bytes between data centres were the highest price that can be lowered on the small sites; a data centre without a server of a shard fetched one part for each shard across. Change: such shards are divided among few members elsewhere (the data centre that has most of them first, 12 a share), whose merged report crosses once. A relay that gave a shard up after refusals told 'not run', and the asking daemon took its next call for the first one.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -34,6 +34,7 @@
 from cowsliploom.forwarding._reach import out_of_reach as out_of_reach
 from cowsliploom.forwarding._records import merge_records as merge_records
 from cowsliploom.forwarding._relay_plan import RelayShare as RelayShare
+from cowsliploom.forwarding._relay_plan import plan_far_relays as plan_far_relays
 from cowsliploom.forwarding._relay_plan import plan_relays as plan_relays
 from cowsliploom.forwarding._relayed import RelayedPart as RelayedPart
 from cowsliploom.forwarding._relayed import RelayedShare as RelayedShare
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -10,7 +10,11 @@
 from cowsliploom.forwarding._fleet import Fleet, calls_max
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import CallerRequest, Outcome, TurnAway
-from cowsliploom.forwarding._relay_plan import RelayShare, plan_relays
+from cowsliploom.forwarding._relay_plan import (
+    RelayShare,
+    plan_far_relays,
+    plan_relays,
+)
 from cowsliploom.forwarding._relayed import RelayedShare, share_route
 from cowsliploom.forwarding._routes import Gather, Route, RouteTable
 from cowsliploom.forwarding._servers import Server, ServerRecord, ServerState
@@ -45,12 +49,20 @@
     window_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Basis:
+    """Hold what a plan of shares was made from, besides its route."""
+
+    members: tuple[Member, ...]
+    layout: int
+    closed_data_centres: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class _Plan:
     """Remember how a route's shards are shared among members."""
 
-    route: Route
-    members: tuple[Member, ...]
+    basis: _Basis
     shares: tuple[RelayShare, ...]
 
 
@@ -83,7 +95,8 @@
         self._call_ids = itertools.count(1)
         self._budgets: dict[str, ExtraBudget] = {}
         self._latencies: dict[str, RecentLatency] = {}
-        self.near_members: Callable[[], tuple[Member, ...]] = tuple
+        self.name = ''
+        self.members: Callable[[], tuple[Member, ...]] = tuple
         self._turns = WeightedTurns(self._random)
         self._relays: dict[str, Server] = {}
         self._plans: dict[str, _Plan] = {}
@@ -170,13 +183,13 @@
 
     def _shares(self, route: Route, now_ms: float) -> tuple[RelayShare, ...]:
         """Return the shares of relays that answer; the rest is asked directly."""
-        members = self.near_members()
+        members = self.members()
         if route.gather is None or not members:
             return ()
+        basis = _Basis(members, self.fleet.layout, self.fleet.closed_data_centres)
         plan = self._plans.get(route.name)
-        if plan is None or plan.members != members or plan.route is not route:
-            shares = plan_relays(route.gather.shards, members)
-            plan = _Plan(route, members, shares)
+        if plan is None or plan.basis != basis:
+            plan = _Plan(basis, self._plan(route.gather.shards, members))
             self._plans = {**self._plans, route.name: plan}
         return tuple(
             share
@@ -184,6 +197,20 @@
             if not self.relay(share, now_ms).is_resting(now_ms)
         )
 
+    def _plan(
+        self, shards: tuple[str, ...], members: tuple[Member, ...]
+    ) -> tuple[RelayShare, ...]:
+        own = self.fleet.data_centre
+        places = {shard: self.fleet.places(shard) for shard in shards}
+        near = tuple(shard for shard, found in places.items() if own in found)
+        far = {shard: found for shard, found in places.items() if own not in found}
+        near_members = tuple(one for one in members if one.data_centre == own)
+        far_members = tuple(one for one in members if one.data_centre != own)
+        return (
+            *plan_relays(near, near_members),
+            *plan_far_relays(far, far_members, self.name),
+        )
+
     def _works(self, route: Route, sharers: int = 0) -> tuple[Work, ...]:
         progress = Progress()
         if route.gather is not None:
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -220,7 +220,9 @@
             return
         attempt.server.heard_ms = event.now_ms
         if not event.may_have_run:
-            work.did_not_run(attempt, rejected=False)
+            # The relay's call may have arrived and been turned away, so that the next
+            # one is extra.
+            work.did_not_run(attempt, rejected=True)
         yield from self._again(work, event.now_ms)
 
     def _note_asked(self, event: RelayAsked) -> None:
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -53,6 +53,11 @@
         Where this entry VM stands.
     owns : callable
         Tells whether this entry VM owns a server while it is cold.
+
+    Attributes
+    ----------
+    layout : int
+        Changes with the servers or their states.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         self.tell: Callable[[ServerBelief], None] = keep_silent
         self.owns = owns
         self.sharers = 1
+        self.layout = 0
         self.closed_data_centres: frozenset[str] = frozenset()
         self._random = random.Random(seed)
         self._servers: dict[str, Server] = {}
@@ -96,8 +102,15 @@
             change = self._take(record, now_ms)
             if change is not None:
                 changes.append(change)
+        self.layout += bool(changes)
         return changes
 
+    def places(self, service: str) -> frozenset[str]:
+        """Return the data centres that have a server for new requests."""
+        return frozenset(
+            server.record.data_centre for server in self._usable(service, ())
+        )
+
     def choose(
         self,
         service: str,
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -71,7 +71,8 @@
         )
         known = Acquaintances(own, self.settings.seeds, self._seed)
         self._peers = Peers(known, self._knowledge, self.log, self._now_ms)
-        self._desk.near_members = self._peers.near
+        self._desk.name = own.name
+        self._desk.members = self._peers.others
         self._watch = StoreWatch(
             self._store, self._knowledge, self.log, self._peers, self._seed
         )
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -68,7 +68,7 @@
         self._random = random.Random(known.own.name)
         self._pools: dict[str, ConnectionPool] = {}
         self._live: frozenset[str] = frozenset()
-        self._near: tuple[Member, ...] = ()
+        self._others: tuple[Member, ...] = ()
         self._is_leaving = False
         self._running: set[asyncio.Task[bool]] = set()
 
@@ -137,9 +137,9 @@
         self._running.add(exchange)
         exchange.add_done_callback(self._running.discard)
 
-    def near(self) -> tuple[Member, ...]:
-        """Return the other live members of the own data centre, by name."""
-        return self._near
+    def others(self) -> tuple[Member, ...]:
+        """Return the other live members, by name."""
+        return self._others
 
     def owns(self, server: str) -> bool:
         """Tell whether this daemon is the one that may ask a cold server."""
@@ -153,9 +153,7 @@
     def _note_members(self) -> None:
         members = self.known.live(self.now_ms())
         live = frozenset(member.name for member in members)
-        own = self.known.own
-        near = (one for one in members[1:] if one.data_centre == own.data_centre)
-        self._near = tuple(sorted(near, key=_name))
+        self._others = tuple(sorted(members[1:], key=_name))
         sharers = len(live) if self.known.has_heard else UNKNOWN_SHARERS
         self.knowledge.desk.fleet.sharers = sharers
         if live != self._live:
