--- a/cowsliploom/dataplane/_frames.py
+++ b/cowsliploom/dataplane/_frames.py
@@ -1,11 +1,15 @@
 """Frames of bytes between entry VMs, many at a time on one kept connection."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from typing import cast
 
-from cowsliploom.dataplane._sockets import end_when_silent, split_address
+from cowsliploom.dataplane._sockets import (
+    bound_address,
+    end_when_silent,
+    listening_socket,
+    split_address,
+)
 
 LENGTH_BYTES = 4  # before each frame, the greatest first
 FRAME_BYTES_MAX = 4_000_000
@@ -125,12 +129,8 @@
 
     async def start(self) -> None:
         """Listen."""
-        host, port = split_address(self.address)
-        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        raw.setblocking(False)
-        raw.bind((host, port))
-        self.address = f'{host}:{raw.getsockname()[1]}'
+        raw = listening_socket(self.address)
+        self.address = bound_address(raw)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._take, sock=raw)
 
--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -1,7 +1,6 @@
 """An HTTP/1.1 server on the event loop; its parser is httptools."""
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,9 +10,10 @@
 
 from cowsliploom.dataplane._sockets import (
     HeaderList,
+    bound_address,
     end_when_silent,
+    listening_socket,
     round_trip_ms,
-    split_address,
 )
 from cowsliploom.forwarding import CallerLimits
 
@@ -305,12 +305,8 @@
 
     async def start(self) -> None:
         """Listen."""
-        host, port = split_address(self.address)
-        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        raw.setblocking(False)
-        raw.bind((host, port))
-        self.address = f'{host}:{raw.getsockname()[1]}'
+        raw = listening_socket(self.address)
+        self.address = bound_address(raw)
         self._server = await self.loop.create_server(
             lambda: ServerConnection(self), sock=raw, backlog=BACKLOG
         )
--- a/cowsliploom/dataplane/_sockets.py
+++ b/cowsliploom/dataplane/_sockets.py
@@ -45,6 +45,21 @@
     return round_trip_us / US_PER_MS
 
 
+def listening_socket(address: str) -> socket.socket:
+    """Return a socket bound to ``host:port``; port 0 lets the system choose."""
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    raw.setblocking(False)
+    raw.bind(split_address(address))
+    return raw
+
+
+def bound_address(raw: socket.socket) -> str:
+    """Return the ``host:port`` that a socket is bound to."""
+    host, port = raw.getsockname()
+    return f'{host}:{port}'
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``host:port``.
 
