--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -190,7 +190,7 @@
         plan = self._plans.get(route.name)
         if plan is None or plan.basis != basis:
             plan = _Plan(basis, self._plan(route.gather.shards, members))
-            self._plans = {**self._plans, route.name: plan}
+            self._plans[route.name] = plan
         return tuple(
             share
             for share in plan.shares
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -27,7 +27,7 @@
 from cowsliploom.forwarding._relay_plan import RelayShare
 from cowsliploom.forwarding._routes import Route
 from cowsliploom.forwarding._servers import Server
-from cowsliploom.forwarding._verdict import Verdict, timeline
+from cowsliploom.forwarding._verdict import Timeline, Verdict, timeline
 from cowsliploom.forwarding._work import Attempt, Work
 
 WAIT_STEP_MS = 4.0  # between two looks for a server with room
@@ -250,7 +250,6 @@
             if work.service in share.shards:
                 call_id = self._desk.next_call_id()
                 work.sent(call_id, Attempt(relay, now_ms))
-                relay.sent(call_id, now_ms)
                 self._calls[call_id] = work
                 calls.append(RelayedCall(call_id, work.service))
         gather = self.route.gather
@@ -260,7 +259,7 @@
             tuple(calls),
             self.route.name,
             gather.records_max if gather else 0,
-            max(PATIENCE_MIN_MS, self._times.end_ms - now_ms),
+            _patience_ms(self._times, now_ms),
             max(REPORT_MIN_MS, report_ms),
         )
 
@@ -292,18 +291,15 @@
             if not work.open:
                 self._wait(work, now_ms)
             return
-        call_id = self._desk.next_call_id()
         is_hedge = bool(work.open)
         if work.sends:
             work.budget.spend(now_ms)
             self.hedges += is_hedge
             self.retries += not is_hedge
+        call_id = self._desk.next_call_id()
         work.sent(call_id, Attempt(server, now_ms))
-        server.sent(call_id, now_ms)
         self._calls[call_id] = work
-        yield SendCall(
-            call_id, server, max(PATIENCE_MIN_MS, self._times.end_ms - now_ms)
-        )
+        yield SendCall(call_id, server, _patience_ms(self._times, now_ms))
 
     def _wait(self, work: Work, now_ms: float) -> None:
         """Wait for room at a server, or give up where there is no server."""
@@ -348,6 +344,11 @@
         yield from self._drop_all()
 
 
+def _patience_ms(times: Timeline, now_ms: float) -> float:
+    """Return how long a call that is sent now may take."""
+    return max(PATIENCE_MIN_MS, times.end_ms - now_ms)
+
+
 def _is_part(event: ExchangeEvent) -> bool:
     """Tell whether an event is a good answer, which makes nothing due sooner."""
     if isinstance(event, PartsRelayed | RelayAsked):
--- a/cowsliploom/forwarding/_reach.py
+++ b/cowsliploom/forwarding/_reach.py
@@ -1,5 +1,7 @@
 """Whether the backend servers that are in reach suffice for the routes."""
 
+from collections.abc import Callable
+
 from cowsliploom.forwarding._fleet import Fleet
 from cowsliploom.forwarding._routes import Route, RouteTable
 from cowsliploom.forwarding._servers import Server
@@ -20,30 +22,13 @@
     now_ms : float
         Time by the own steady clock.
     """
-    return _unanswerable(
-        table,
-        {
-            service: any(
-                server.takes_requests and not server.is_resting(now_ms)
-                for server in fleet.serving(service)
-            )
-            for service in _services(table)
-        },
-    )
+    return _unanswerable(table, fleet, lambda server: not server.is_resting(now_ms))
 
 
 def out_of_own_reach(table: RouteTable, fleet: Fleet) -> int:
     """Return how many routes the own data centre's servers can't answer alone."""
-    return _unanswerable(
-        table,
-        {
-            service: any(
-                server.takes_requests and server.record.data_centre == fleet.data_centre
-                for server in fleet.serving(service)
-            )
-            for service in _services(table)
-        },
-    )
+    own = fleet.data_centre
+    return _unanswerable(table, fleet, lambda server: server.record.data_centre == own)
 
 
 def is_quiet_elsewhere(fleet: Fleet, now_ms: float) -> bool:
@@ -68,7 +53,16 @@
     return waited_ms > QUIET_MS and now_ms - waited_ms > heard_ms
 
 
-def _unanswerable(table: RouteTable, in_reach: dict[str, bool]) -> int:
+def _unanswerable(
+    table: RouteTable, fleet: Fleet, is_reached: Callable[[Server], bool]
+) -> int:
+    in_reach = {
+        service: any(
+            server.takes_requests and is_reached(server)
+            for server in fleet.serving(service)
+        )
+        for service in _services(table)
+    }
     return sum(not _is_answerable(route, in_reach) for route in table.routes)
 
 
--- a/cowsliploom/forwarding/_relayed.py
+++ b/cowsliploom/forwarding/_relayed.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayedPart:
-    """Hold what one shard came to: its signature, or why there is none.
+    """Hold what one shard came to: its signature, or that there is none.
 
     Parameters
     ----------
@@ -27,18 +27,12 @@
         Which shard.
     signature : str
         The server's mark on its part; empty where there is no part.
-    server : str
-        Which server was asked last; empty if none was.
-    reason : str
-        Why there is no part.
     may_have_run : bool
         Whether a server may have worked on the request.
     """
 
     shard: str
     signature: str = ''
-    server: str = ''
-    reason: str = ''
     may_have_run: bool = False
 
 
@@ -166,7 +160,5 @@
 
 
 def _part_of(work: Work) -> RelayedPart:
-    server = next(iter(work.tried), '')
-    if work.part is None:
-        return RelayedPart(work.service, '', server, work.ended_by, work.may_have_run)
-    return RelayedPart(work.service, work.part.signature, server)
+    signature = '' if work.part is None else work.part.signature
+    return RelayedPart(work.service, signature, work.may_have_run)
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -83,7 +83,8 @@
         return self.runs > 0
 
     def sent(self, call_id: int, attempt: Attempt) -> None:
-        """Note a call."""
+        """Note a call, here and at its server."""
+        attempt.server.sent(call_id, attempt.sent_ms)
         self.open[call_id] = attempt
         self.tried.add(attempt.server.name)
         self.sends += 1
--- a/cowsliploom/forwarding/tests/test_relay.py
+++ b/cowsliploom/forwarding/tests/test_relay.py
@@ -1,7 +1,5 @@
 """A query's shards are asked through relays, once each, and taken together."""
 
-from dataclasses import replace
-
 import pytest
 
 from cowsliploom.forwarding import (
@@ -293,7 +291,7 @@
     Play.start(desk, '/many/x')
     spare = desk._budgets['k00'].left(0, sharers=1)
     share = desk.open_share(
-        replace(CallerRequest('r', '', '', '', (), b'', 0, 1000)),
+        CallerRequest('r', '', '', '', (), b'', 0, 1000),
         'many',
         Gather(('k00',), 4, 0),
         40,
--- a/cowsliploom/gateway/tests/test_relay_wire.py
+++ b/cowsliploom/gateway/tests/test_relay_wire.py
@@ -15,7 +15,7 @@
     encode_frame,
 )
 
-REPORT = RelayReport((RelayedPart('s1', 'sig', 'i-1'),), b'\x00\xff' * 8)
+REPORT = RelayReport((RelayedPart('s1', 'sig', may_have_run=True),), b'\x00\xff' * 8)
 FRAMES = (
     Ask(1, 'r-1', 'wide', 'GET / HTTP/1.1', b'\xff', ('s1', 's2'), 50, 900.0, 40.0),
     Asked(1, ('i-1', '')),
