Free version moves from the operators' resources, so that the gateway can judge them

Cause: rollout imported resources (and with it yaml) and the whole of routing for three message types and one translation; loading it took 140 to 260 ms, which no program on the users' platform can pay at its start. Change: samples and shares stand in rollout, which routing imports; what resources declare is translated in daemons. Behaviour is the same; the tests of rollout, routing and daemons pass.

--- a/benchmarks/judge_cost.py
+++ b/benchmarks/judge_cost.py
@@ -20,7 +20,7 @@
     MovesDeclared,
     decode_evidence,
 )
-from cowsliploom.routing import RecordSample
+from cowsliploom.rollout import RecordSample
 
 ROUTES = 4
 SERVERS = 5
--- a/cowsliploom/daemons/_entry_hub.py
+++ b/cowsliploom/daemons/_entry_hub.py
@@ -34,12 +34,12 @@
     decode_configuration,
     encode_configuration,
 )
+from cowsliploom.rollout import RecordSample
 from cowsliploom.routing import (
     EntriesCounted,
     HealthReported,
     OwnershipChanged,
     ProbeFailed,
-    RecordSample,
     ServersLeaving,
     ServersWarm,
 )
--- a/cowsliploom/daemons/_entry_loop.py
+++ b/cowsliploom/daemons/_entry_loop.py
@@ -20,6 +20,7 @@
 from cowsliploom.ports import Clock
 from cowsliploom.protocol import Ran
 from cowsliploom.resources import Configuration, SearchSpec
+from cowsliploom.rollout import RecordSample
 from cowsliploom.routing import (
     AnswerQuery,
     AnswerRun,
@@ -33,7 +34,6 @@
     HealthReported,
     ProbeFailed,
     QueryArrived,
-    RecordSample,
     RefuseCaller,
     RetireConnections,
     RunArrived,
--- a/cowsliploom/daemons/_rollout_task.py
+++ b/cowsliploom/daemons/_rollout_task.py
@@ -9,6 +9,7 @@
 from types import TracebackType
 
 from cowsliploom.adapters import PartLog
+from cowsliploom.daemons._declared_moves import declared_moves
 from cowsliploom.daemons._store_calls import ask_store
 from cowsliploom.ports import Clock, Store
 from cowsliploom.resources import Configuration
@@ -28,7 +29,7 @@
 from cowsliploom.rollout._control_messages import ControllerEvent
 from cowsliploom.rollout._leadership import LEASE_NAME
 from cowsliploom.rollout._rollout import RolloutCommand
-from cowsliploom.routing import RecordSample, SharesChanged
+from cowsliploom.rollout import RecordSample, SharesChanged
 
 MS_PER_S = 1000
 TICK_MS = 100  # a veto waits for the next tick
@@ -191,7 +192,8 @@
                 self._rollout.sample(message)
                 return ()
             case _Configured(configuration, entries):
-                commands = self._rollout.configure(now_ms, configuration, entries)
+                moves = declared_moves(configuration)
+                commands = self._rollout.declare(now_ms, moves, entries)
                 self._moved_services = self._rollout.moved_services()
                 return commands
             case _FactHeard(key, generation, blob):
--- a/cowsliploom/rollout/__init__.py
+++ b/cowsliploom/rollout/__init__.py
@@ -25,11 +25,13 @@
 from cowsliploom.rollout._moves import MoveStatus as MoveStatus
 from cowsliploom.rollout._moves import ShareFact as ShareFact
 from cowsliploom.rollout._moves import Veto as Veto
-from cowsliploom.rollout._moves import declared_moves as declared_moves
 from cowsliploom.rollout._moves import share_fact as share_fact
 from cowsliploom.rollout._moves import shares as shares
 from cowsliploom.rollout._moves import veto_fact as veto_fact
 from cowsliploom.rollout._rollout import Rollout as Rollout
+from cowsliploom.rollout._samples import RecordSample as RecordSample
+from cowsliploom.rollout._samples import SharesChanged as SharesChanged
+from cowsliploom.rollout._samples import VersionShare as VersionShare
 from cowsliploom.rollout._schedule import Progress as Progress
 from cowsliploom.rollout._schedule import SHARES as SHARES
 from cowsliploom.rollout._schedule import is_step_due as is_step_due
--- a/cowsliploom/rollout/_judge.py
+++ b/cowsliploom/rollout/_judge.py
@@ -6,7 +6,7 @@
 from cowsliploom.rollout._kind_test import Finding
 from cowsliploom.rollout._move_trial import MoveTrial
 from cowsliploom.rollout._moves import AnnounceFact, Move, Veto
-from cowsliploom.routing import RecordSample
+from cowsliploom.rollout._samples import RecordSample
 
 BLOCK_MS = 250  # calls are tested in blocks; a veto waits at most this long
 EVIDENCE_INTERVAL_MS = 1000  # a daemon tells its counts at most this often
@@ -91,7 +91,7 @@
     Examples
     --------
     >>> from cowsliploom.rollout import Judge, JudgeTick, Move, MovesDeclared, Veto
-    >>> from cowsliploom.routing import RecordSample
+    >>> from cowsliploom.rollout import RecordSample
     >>> judge = Judge('entry-1', 'a')
     >>> move = Move('rota-2', 'van-rota', 'v1', 'v2', 1, 60_000, new_servers=1)
     >>> judge.step(MovesDeclared(0, (move,), entries=1))
--- a/cowsliploom/rollout/_move_trial.py
+++ b/cowsliploom/rollout/_move_trial.py
@@ -8,7 +8,7 @@
 from cowsliploom.rollout._moves import BadKind, Move
 from cowsliploom.rollout._own_calls import OTHER_ROUTES, ROUTES_MAX, OwnCalls
 from cowsliploom.rollout._route_trial import RouteTrial
-from cowsliploom.routing import RecordSample
+from cowsliploom.rollout._samples import RecordSample
 
 MOVE_ALPHA = 1e-4  # chance of taking back a good version, over all daemons
 KINDS = len(BadKind)  # each kind is tested apart
--- a/cowsliploom/rollout/_own_calls.py
+++ b/cowsliploom/rollout/_own_calls.py
@@ -6,7 +6,7 @@
 from cowsliploom.rollout._cold import ColdServers
 from cowsliploom.rollout._counts import Counts
 from cowsliploom.rollout._evidence import OLD_VERSION, RowKey
-from cowsliploom.routing import RecordSample
+from cowsliploom.rollout._samples import RecordSample
 
 ROUTES_MAX = 64  # routes told apart; further ones are counted as one
 OTHER_ROUTES = 'others'
--- a/cowsliploom/rollout/_rollout.py
+++ b/cowsliploom/rollout/_rollout.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from cowsliploom.resources import Configuration
 from cowsliploom.rollout._control_messages import (
     ControllerCommand,
     ControllerEvent,
@@ -25,11 +24,10 @@
     MoveState,
     ShareFact,
     Veto,
-    declared_moves,
     shares,
     veto_fact,
 )
-from cowsliploom.routing import RecordSample, SharesChanged, VersionShare
+from cowsliploom.rollout._samples import RecordSample, SharesChanged, VersionShare
 
 RolloutCommand = ControllerCommand | SharesChanged
 
@@ -46,10 +44,9 @@
 
     Examples
     --------
-    >>> from cowsliploom.resources import Configuration
     >>> from cowsliploom.rollout import Rollout
     >>> rollout = Rollout('entry-1', 'a')
-    >>> rollout.configure(0, Configuration(), entries=3)
+    >>> rollout.declare(0, moves=(), entries=3)
     (SharesChanged(now_ms=0, shares=()),)
     """
 
@@ -60,11 +57,11 @@
         self._shares: tuple[VersionShare, ...] | None = None
         self._unreadable_facts = 0
 
-    def configure(
-        self, now_ms: float, configuration: Configuration, entries: int
+    def declare(
+        self, now_ms: float, moves: tuple[Move, ...], entries: int
     ) -> tuple[RolloutCommand, ...]:
-        """Take a configuration and the number of live entry VMs."""
-        self._moves = declared_moves(configuration)
+        """Take all declared moves and the number of live entry VMs."""
+        self._moves = moves
         declared = MovesDeclared(now_ms, self._moves, entries)
         self._judge.step(declared)
         self._controller.step(declared)
--- a/cowsliploom/rollout/tests/moves_world.py
+++ b/cowsliploom/rollout/tests/moves_world.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cowsliploom.daemons._declared_moves import declared_moves
 from cowsliploom.ports import Absent, Conflict, Swapped, Unanswered
 from cowsliploom.protocol import LeaseResult, StoredValue
 from cowsliploom.resources import (
@@ -27,7 +28,7 @@
     StateSwapped,
     SwapState,
 )
-from cowsliploom.routing import RecordSample, SharesChanged
+from cowsliploom.rollout import RecordSample, SharesChanged
 
 TICK_MS = 50
 GOSSIP_MS = 300
@@ -160,7 +161,10 @@
 
     def declare(self, declared: Configuration) -> None:
         for daemon, rollout in enumerate(self.rollouts):
-            self.perform(daemon, rollout.configure(self.now_ms, declared, self.daemons))
+            self.perform(
+                daemon,
+                rollout.declare(self.now_ms, declared_moves(declared), self.daemons),
+            )
 
     def run(self, until_ms: float) -> 'World':
         while self.now_ms < until_ms:
--- a/cowsliploom/routing/__init__.py
+++ b/cowsliploom/routing/__init__.py
@@ -18,7 +18,6 @@
 from cowsliploom.routing._messages import OwnershipChanged as OwnershipChanged
 from cowsliploom.routing._messages import ProbeFailed as ProbeFailed
 from cowsliploom.routing._messages import QueryArrived as QueryArrived
-from cowsliploom.routing._messages import RecordSample as RecordSample
 from cowsliploom.routing._messages import RefusalCause as RefusalCause
 from cowsliploom.routing._messages import RefuseCaller as RefuseCaller
 from cowsliploom.routing._messages import RetireConnections as RetireConnections
@@ -29,9 +28,7 @@
 from cowsliploom.routing._messages import SendSearch as SendSearch
 from cowsliploom.routing._messages import ServersLeaving as ServersLeaving
 from cowsliploom.routing._messages import ServersWarm as ServersWarm
-from cowsliploom.routing._messages import SharesChanged as SharesChanged
 from cowsliploom.routing._messages import Tick as Tick
-from cowsliploom.routing._messages import VersionShare as VersionShare
 from cowsliploom.routing._naive import NaiveRouter as NaiveRouter
 from cowsliploom.routing._router import Router as Router
 from cowsliploom.routing._settings import RouterSettings as RouterSettings
--- a/cowsliploom/routing/_context.py
+++ b/cowsliploom/routing/_context.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 from cowsliploom.protocol import Ran
+from cowsliploom.rollout import RecordSample
 from cowsliploom.routing._budget import TokenBudget
 from cowsliploom.routing._messages import (
     Command,
-    RecordSample,
     RefusalCause,
     RefuseCaller,
     RetireConnections,
--- a/cowsliploom/routing/_fleet.py
+++ b/cowsliploom/routing/_fleet.py
@@ -4,6 +4,7 @@
 
 from cowsliploom.protocol import HealthReport, LoadReport, ServerState
 from cowsliploom.resources import Configuration
+from cowsliploom.rollout import VersionShare
 from cowsliploom.routing._budget import TokenBudget
 from cowsliploom.routing._catalog import Catalog, CatalogServer, build_catalog
 from cowsliploom.routing._choice import ReplicaChoice
@@ -14,7 +15,6 @@
     narrow,
     fair_share,
 )
-from cowsliploom.routing._messages import VersionShare
 from cowsliploom.routing._queue import UrgencyQueue
 from cowsliploom.routing._replica import preference_factor
 from cowsliploom.routing._shares import change_share
--- a/cowsliploom/routing/_router.py
+++ b/cowsliploom/routing/_router.py
@@ -2,6 +2,7 @@
 
 import random
 
+from cowsliploom.rollout import SharesChanged
 from cowsliploom.routing._budget import TokenBudget
 from cowsliploom.routing._choice import ReplicaChoice
 from cowsliploom.routing._context import Context
@@ -27,7 +28,6 @@
     SearchReplied,
     ServersLeaving,
     ServersWarm,
-    SharesChanged,
     Tick,
 )
 from cowsliploom.routing._outcomes import Outcomes
--- a/cowsliploom/routing/tests/test_differential.py
+++ b/cowsliploom/routing/tests/test_differential.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 
 from cowsliploom.protocol import DocRange, RefusalReason
+from cowsliploom.rollout import RecordSample
 from cowsliploom.routing import (
     AnswerQuery,
     CancelSent,
-    RecordSample,
     RefuseCaller,
     Router,
     RouterSettings,
--- a/cowsliploom/routing/tests/test_servers.py
+++ b/cowsliploom/routing/tests/test_servers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cowsliploom.protocol import Ran, RefusalReason, ServerState
+from cowsliploom.rollout import RecordSample, SharesChanged, VersionShare
 from cowsliploom.routing import (
     CancelSent,
     ConfigurationApplied,
@@ -12,14 +13,11 @@
     EntriesCounted,
     FailureStep,
     HealthReported,
-    RecordSample,
     RefusalCause,
     Router,
     RouterSettings,
     SendSearch,
     ServersLeaving,
-    SharesChanged,
-    VersionShare,
 )
 from cowsliploom.routing.tests import samples
 from cowsliploom.routing.tests.driver import Driver, only
--- a/cowsliploom/routing/tests/test_stragglers.py
+++ b/cowsliploom/routing/tests/test_stragglers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cowsliploom.protocol import Ran, RefusalReason
+from cowsliploom.rollout import RecordSample
 from cowsliploom.routing import (
     CallerLeft,
     CallFailed,
@@ -10,7 +11,6 @@
     Coverage,
     FailureStep,
     NaiveRouter,
-    RecordSample,
     RefusalCause,
     RetireConnections,
     Router,
--- a/examples/embed_judge.py
+++ b/examples/embed_judge.py
@@ -10,8 +10,14 @@
 import doctest
 import random
 
-from cowsliploom.rollout import Judge, JudgeTick, Move, MovesDeclared, Veto
-from cowsliploom.routing import RecordSample
+from cowsliploom.rollout import (
+    Judge,
+    JudgeTick,
+    Move,
+    MovesDeclared,
+    RecordSample,
+    Veto,
+)
 
 CALLS = 2000
 NEW_SHARE = 0.1
