End a task that is cancelled while its answer arrives

Change: timeouts of calls and connections by asyncio.timeout, which keeps a cancellation. Test: a call that is cancelled when its answer is in ends its task; failed before.

--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -316,8 +316,9 @@
         call = HttpCall(content, partial(_set_result, done))
         self.send(call)
         try:
-            return await asyncio.wait_for(done, timeout_ms / MS_PER_S)
-        except asyncio.TimeoutError:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await done
+        except TimeoutError:
             call.drop()
             return None
 
@@ -343,14 +344,12 @@
 
     async def _open(self, call: HttpCall) -> None:
         host, port = split_address(self.address)
-        opening = self._loop.create_connection(
-            lambda: CallConnection(self), host=host, port=port
-        )
         try:
-            _, connection = await asyncio.wait_for(
-                opening, self.connect_timeout_ms / MS_PER_S
-            )
-        except (OSError, asyncio.TimeoutError) as error:
+            async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
+                _, connection = await self._loop.create_connection(
+                    lambda: CallConnection(self), host=host, port=port
+                )
+        except OSError as error:
             call.end(HttpFailure(CallStep.CONNECT, self.address, repr(error), False))
             return
         if call.is_ended:
--- a/cowsliploom/dataplane/_frames.py
+++ b/cowsliploom/dataplane/_frames.py
@@ -95,12 +95,10 @@
         If nobody answers in time; ``TimeoutError`` is one.
     """
     host, port = split_address(address)
-    _, connection = await asyncio.wait_for(
-        asyncio.get_running_loop().create_connection(
+    async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+        _, connection = await asyncio.get_running_loop().create_connection(
             lambda: FrameConnection(on_frame, on_lost), host=host, port=port
-        ),
-        CONNECT_TIMEOUT_MS / MS_PER_S,
-    )
+        )
     return connection
 
 
--- a/cowsliploom/dataplane/tests/test_dataplane.py
+++ b/cowsliploom/dataplane/tests/test_dataplane.py
@@ -296,3 +296,21 @@
         return raw.accepted
 
     assert asyncio.run(play()) == 2
+
+
+def test_a_cancelled_call_ends_its_task_though_the_answer_is_in():
+    """A task that went on after its cancellation would never end its process."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        pool = ConnectionPool('127.0.0.1:1')
+        calls = []
+        pool.send = calls.append
+        asking = loop.create_task(pool.ask(b'', 5000))
+        await asyncio.sleep(0)
+        calls[0].end(HttpAnswer(200, [], b''))
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        return asking.cancelled()
+
+    assert asyncio.run(play())
