--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -1,6 +1,8 @@
 """Forwarding of requests by routes to the backend servers of services; sans-IO."""
 
 from cowsliploom.forwarding._budget import ExtraBudget as ExtraBudget
+from cowsliploom.forwarding._call_memory import CallMemory as CallMemory
+from cowsliploom.forwarding._call_memory import SeenCall as SeenCall
 from cowsliploom.forwarding._desk import BudgetRules as BudgetRules
 from cowsliploom.forwarding._desk import ForwardingDesk as ForwardingDesk
 from cowsliploom.forwarding._exchange import Exchange as Exchange
@@ -29,6 +31,8 @@
 from cowsliploom.forwarding._messages import SendCall as SendCall
 from cowsliploom.forwarding._messages import Ticked as Ticked
 from cowsliploom.forwarding._messages import TurnAway as TurnAway
+from cowsliploom.forwarding._moves import MoveOrder as MoveOrder
+from cowsliploom.forwarding._moves import VersionSplit as VersionSplit
 from cowsliploom.forwarding._reach import is_quiet_elsewhere as is_quiet_elsewhere
 from cowsliploom.forwarding._reach import out_of_own_reach as out_of_own_reach
 from cowsliploom.forwarding._reach import out_of_reach as out_of_reach
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from cowsliploom.forwarding._budget import ExtraBudget
+from cowsliploom.forwarding._call_memory import CallMemory
 from cowsliploom.forwarding._exchange import Exchange
 from cowsliploom.forwarding._fleet import Fleet, calls_max
 from cowsliploom.forwarding._latency import RecentLatency
@@ -101,6 +102,7 @@
         self._relays: dict[str, Server] = {}
         self._plans: dict[str, _Plan] = {}
         self._lateness = RecentLatency(default_ms=0)
+        self.calls = CallMemory()
 
     @property
     def lateness_ms(self) -> float:
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+from cowsliploom.forwarding._call_memory import CallMemory
 from cowsliploom.forwarding._fleet import CallLimits, Fleet
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import (
@@ -41,6 +42,7 @@
     """What exchanges share."""
 
     fleet: Fleet
+    calls: CallMemory
 
     @property
     def lateness_ms(self) -> float:
@@ -177,6 +179,7 @@
             return
         if answer.ran:
             server.failed(event.now_ms)
+            self._desk.calls.add(attempt, self.route.name, event.now_ms, ok=False)
             work.failure = work.failure or answer
         else:
             server.is_leaving = server.is_leaving or answer.wrong_server
@@ -188,6 +191,7 @@
         elapsed_ms = event.now_ms - attempt.sent_ms
         attempt.server.succeeded(elapsed_ms)
         self._latency.add(elapsed_ms)
+        self._desk.calls.add(attempt, self.route.name, event.now_ms, ok=True)
         work.take_part(event.answer)
 
     def _failed(self, event: CallFailed) -> Iterator[Command]:
@@ -199,6 +203,7 @@
             attempt.server.unreachable(now_ms)
         else:
             attempt.server.failed(now_ms)
+            self._desk.calls.add(attempt, self.route.name, now_ms, ok=False)
         if not event.may_have_run:
             work.did_not_run(attempt, rejected=False)
         yield from self._again(work, now_ms)
@@ -339,6 +344,7 @@
             return
         for work in self.works:
             for attempt in work.open.values():
+                self._desk.calls.add(attempt, self.route.name, now_ms, ok=True)
                 if attempt.server.is_silent(now_ms):
                     attempt.server.unreachable(now_ms)
         yield from self._drop_all()
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -1,9 +1,10 @@
 """All backend servers that an entry VM knows, and the choice among them."""
 
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from cowsliploom.forwarding._moves import VersionSplit
 from cowsliploom.forwarding._servers import (
     Server,
     ServerBelief,
@@ -73,6 +74,7 @@
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, list[Server]] = {}
         self._cold_sent_ms: dict[str, float] = {}
+        self._splits: dict[str, VersionSplit] = {}
 
     def __len__(self) -> int:
         """Return the number of servers."""
@@ -105,6 +107,16 @@
         self.layout += bool(changes)
         return changes
 
+    def split(self, service: str, split: VersionSplit | None) -> None:
+        """Divide a service's calls between versions, or no longer."""
+        if self._splits.get(service) == split:
+            return
+        if split is None:
+            self._splits.pop(service)
+        else:
+            self._splits[service] = split
+        self.layout += 1
+
     def places(self, service: str) -> frozenset[str]:
         """Return the data centres that have a server for new requests."""
         return frozenset(
@@ -132,6 +144,9 @@
             What a call usually takes, and how many may be open at one server.
         """
         usable = self._usable(service, tried)
+        split = self._splits.get(service)
+        if split is not None:
+            usable = split.drawn(usable, self._random.random())
         warm = [server for server in usable if not server.is_cold(now_ms)]
         open_to_calls = [
             server
@@ -149,11 +164,15 @@
         """Tell whether a server may take a call, now or when it has room."""
         return bool(self._usable(service, tried))
 
-    def _usable(self, service: str, tried: Iterable[str]) -> list[Server]:
+    def _usable(self, service: str, tried: Iterable[str]) -> Sequence[Server]:
         closed = self.closed_data_centres
+        servers: Sequence[Server] = self._by_service.get(service, ())
+        split = self._splits.get(service)
+        if split is not None:
+            servers = split.allowed(servers)
         return [
             server
-            for server in self._by_service.get(service, ())
+            for server in servers
             if server.takes_requests
             and server.name not in tried
             and server.record.data_centre not in closed
@@ -172,7 +191,7 @@
             cost *= FAR_RATIO
         return cost * self._random.uniform(1 - NOISE, 1 + NOISE)
 
-    def _choose_cold(self, servers: list[Server], now_ms: float) -> Server | None:
+    def _choose_cold(self, servers: Sequence[Server], now_ms: float) -> Server | None:
         """Return a cold server that this entry VM owns and hasn't just asked."""
         for server in servers:
             last_ms = self._cold_sent_ms.get(server.name, -COLD_GAP_MS)
--- /dev/null
+++ b/cowsliploom/forwarding/tests/test_moves.py
@@ -0,0 +1,94 @@
+"""Servers of a service that is being moved are asked by their version's share."""
+
+import pytest
+
+from cowsliploom.forwarding import (
+    CallMemory,
+    Fleet,
+    Server,
+    ServerRecord,
+    ServerState,
+    VersionSplit,
+)
+from cowsliploom.forwarding._call_memory import CALLS_KEPT, SERVICES_KEPT
+from cowsliploom.forwarding._fleet import CallLimits
+from cowsliploom.forwarding._work import Attempt
+
+LIMITS = CallLimits(usual_ms=10, calls_max=10_000)
+
+
+def record(name, version, service='s', state=ServerState.READY):
+    """Return a registration."""
+    return ServerRecord(name, service, f'{name}:1', 'de', version, 4, state, 0, 1)
+
+
+def fleet_of(*records):
+    """Return a fleet of servers."""
+    fleet = Fleet(1, 'de', bool)
+    fleet.update(records, 0)
+    return fleet
+
+
+def versions(fleet, tried=()):
+    """Return the versions that many calls are sent to."""
+    picks = [fleet.choose('s', tried, 0, LIMITS) for _ in range(1000)]
+    return [pick.record.version for pick in picks if pick is not None]
+
+
+@pytest.mark.parametrize(
+    ('share', 'low', 'high'),
+    [(0, 0, 0), (0.05, 20, 90), (0.5, 420, 580), (1.0, 1000, 1000)],
+)
+def test_calls_are_divided_by_the_share(share, low, high):
+    fleet = fleet_of(record('a', 'v1'), record('b', 'v1'), record('c', 'v2'))
+    fleet.split('s', VersionSplit('v2', share))
+    assert low <= versions(fleet).count('v2') <= high
+
+
+@pytest.mark.parametrize('share', [0, None])
+def test_a_version_without_a_share_gets_no_second_call_either(share):
+    fleet = fleet_of(record('a', 'v1'), record('c', 'v2'))
+    fleet.split('s', VersionSplit('v2', share))
+    assert versions(fleet, tried=('a',)) == []
+    assert not fleet.has_usable('s', ('a',))
+
+
+@pytest.mark.parametrize(
+    ('share', 'expected'), [(None, {'v2'}), (0, set()), (0.3, {'v2'}), (1.0, {'v2'})]
+)
+def test_a_version_of_unknown_share_serves_where_no_other_is_left(share, expected):
+    old = record('a', 'v1', state=ServerState.DRAINING)
+    fleet = fleet_of(old, record('c', 'v2'))
+    fleet.split('s', VersionSplit('v2', share))
+    assert set(versions(fleet)) == expected
+
+
+def test_plans_are_made_anew_when_a_share_changes():
+    fleet = fleet_of(record('a', 'v1'), record('c', 'v2'))
+    before = fleet.layout
+    fleet.split('s', VersionSplit('v2', 0.1))
+    fleet.split('s', VersionSplit('v2', 0.1))
+    assert fleet.layout == before + 1
+
+
+def test_calls_of_watched_services_are_handed_on_and_the_latest_remembered():
+    memory, seen = CallMemory(), []
+    memory.on_call = seen.append
+    memory.watched = frozenset(('s',))
+    for number in range(CALLS_KEPT + 5):
+        for service in ('s', 't'):
+            server = Server(record('a', 'v1', service), 0)
+            memory.add(Attempt(server, number), 'r', number + 3, ok=True)
+    assert len(seen) == CALLS_KEPT + 5
+    assert {call.elapsed_ms for call in seen} == {3}
+    assert [call.now_ms for call in memory.latest('t')][0] == 8
+    assert memory.latest('unknown') == ()
+
+
+def test_services_that_come_and_go_are_forgotten():
+    memory = CallMemory()
+    for number in range(SERVICES_KEPT + 1):
+        server = Server(record('a', 'v1', f's{number}'), 0)
+        memory.add(Attempt(server, 0), 'r', 1, ok=True)
+    assert memory.latest('s0') == ()
+    assert memory.latest('s1')
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -14,6 +14,7 @@
 from cowsliploom.gateway._isolation import Isolation
 from cowsliploom.gateway._knowledge import Knowledge
 from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._moves_task import MovesTask
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
@@ -121,6 +122,7 @@
             self._peers.run(),
             self._sweep(),
             self._isolation.run(),
+            MovesTask(self._knowledge, self._peers, self._store, self.log).run(),
         )
         for work in tasks:
             self._tasks.append(self._loop.create_task(work))
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -1,15 +1,23 @@
 """What this entry VM knows of the configuration and of the backend servers."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from cowsliploom import platform
 from cowsliploom.members import Batch, StoreMirror
-from cowsliploom.forwarding import ForwardingDesk, ServerBelief, ServerRecord
+from cowsliploom.forwarding import (
+    ForwardingDesk,
+    MoveOrder,
+    ServerBelief,
+    ServerRecord,
+    VersionSplit,
+)
 from cowsliploom.gateway._line_log import LineLog
 
 LAPSE_HOLD_MS = 2300.0  # live servers are back this long after the store's return
 LAPSE_SHARE = 0.25  # of all servers; more that go at once have rather lapsed
 LAPSE_MIN = 3
+CHANGES_LOGGED = 20  # one by one; more would push other lines out of the log
 NEVER_MS = 1e9  # age of what the store has never confirmed
 
 
@@ -44,6 +52,7 @@
         self.desk = desk
         self.log = log
         self.mirror = StoreMirror()
+        self.orders: dict[str, MoveOrder] = {}
         self.confirmed_ms: float | None = None
         self._records: dict[str, ServerRecord] = {}
         self._held: dict[str, float] = {}
@@ -74,6 +83,9 @@
         if platform.CONFIGURATION_KEY in changed:
             self._take_configuration(heard)
         self._take_zones()
+        for ordered in changed:
+            if ordered.startswith(platform.MOVE_PREFIX):
+                self._take_order(ordered, heard)
         servers = [key for key in changed if key.startswith(platform.SERVER_PREFIX)]
         if servers:
             self._take_servers(servers, heard, now_ms)
@@ -124,6 +136,36 @@
             self.desk.fleet.closed_data_centres = closed
             self.log.write('evacuation', 'changed', data_centres=sorted(closed))
 
+    def _take_order(self, key: str, heard: Heard) -> None:
+        """Take an order to move a service, or its end.
+
+        Until it is known how far the move is, the new version gets nothing.
+        """
+        service = key.removeprefix(platform.MOVE_PREFIX)
+        item = self.mirror.get(key)
+        if item is None:
+            if self.orders.pop(service, None) is not None:
+                self.desk.fleet.split(service, None)
+                self.log.write('move', 'order gone', service=service)
+            return
+        try:
+            order = platform.decode_order(key, item.content, item.revision)
+        except platform.DocumentError as error:
+            self.log.write('move', 'unreadable', service=service, reason=error.reason)
+            return
+        self.orders[service] = order
+        self.desk.fleet.split(service, VersionSplit(order.to_version))
+        self.log.write(
+            'move',
+            'ordered',
+            service=service,
+            to_version=order.to_version,
+            given_ms=order.given_ms,
+            revision=order.revision,
+            source=heard.source,
+            age_ms=heard.age_ms,
+        )
+
     def _take_servers(self, keys: list[str], heard: Heard, now_ms: float) -> None:
         removed = [key for key in keys if self.mirror.get(key) is None]
         hold_until_ms = self._hold_until_ms(len(removed), now_ms)
@@ -161,7 +203,21 @@
         )
 
     def _update_fleet(self, heard: Heard, now_ms: float) -> None:
-        for change in self.desk.fleet.update(self._records.values(), now_ms):
+        changes = self.desk.fleet.update(self._records.values(), now_ms)
+        if len(changes) > CHANGES_LOGGED:
+            kinds = Counter(change.what for change in changes)
+            self.log.write(
+                'server',
+                'many changed',
+                changed=len(changes),
+                new=kinds['new'],
+                gone=kinds['gone'],
+                revision=self.mirror.revision,
+                source=heard.source,
+                age_ms=heard.age_ms,
+            )
+            return
+        for change in changes:
             self.log.write(
                 'server',
                 change.what,
--- /dev/null
+++ b/cowsliploom/gateway/_moves_task.py
@@ -0,0 +1,67 @@
+"""The task that takes part in version moves once one has been ordered."""
+
+import asyncio
+import importlib
+from collections.abc import Callable
+from typing import Protocol, cast
+
+from cowsliploom.gateway._knowledge import Knowledge
+from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._peers import Peers
+from cowsliploom.platform import PlatformStore
+
+MS_PER_S = 1000
+TICK_MS = 100.0
+MODULE = 'cowsliploom.gateway._version_moves'
+
+
+class Moves(Protocol):
+    """What the loaded module does."""
+
+    def tick(self) -> None:
+        """Take what has changed, and do what is due."""
+        ...
+
+
+class MovesTask:
+    """Load what moves versions when there is an order, and let it act.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        Orders of the operators.
+    peers : Peers
+        Other entry VMs.
+    store : PlatformStore
+        The store.
+    log : LineLog
+        Log of the moves.
+
+    Notes
+    -----
+    Loading takes tens of milliseconds, so it is done beside the loop. Until then the
+    new version gets no calls (see ``Knowledge``).
+    """
+
+    def __init__(
+        self, knowledge: Knowledge, peers: Peers, store: PlatformStore, log: LineLog
+    ) -> None:
+        self._knowledge = knowledge
+        self._peers = peers
+        self._store = store
+        self._log = log
+
+    async def run(self) -> None:
+        """Act until cancelled."""
+        while not self._knowledge.orders:
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+        moves = await self._load()
+        while True:
+            moves.tick()
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+
+    async def _load(self) -> Moves:
+        loop = asyncio.get_running_loop()
+        module = await loop.run_in_executor(None, importlib.import_module, MODULE)
+        make = cast(Callable[..., Moves], module.VersionMoves)
+        return make(self._knowledge, self._peers, self._store, self._log)
--- a/cowsliploom/gateway/_news.py
+++ b/cowsliploom/gateway/_news.py
@@ -1,14 +1,16 @@
-"""News on its way through a data centre, each member telling a few others."""
+"""News on their way through the fleet, each member telling a few others."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+import random
+from collections.abc import Callable, Coroutine, Sequence
 
 import msgspec
 
-from cowsliploom.gateway._peer_wire import encode_news
-from cowsliploom.members import StoreMirror, divide_to_tell
+from cowsliploom.gateway._background import Background
+from cowsliploom.gateway._peer_wire import NO_NEWS, encode_news
+from cowsliploom.members import Acquaintances, StoreMirror, divide_to_tell
 
-TellMember = Callable[[str, msgspec.Raw, Sequence[str]], Awaitable[bool]]
+TellMember = Callable[[str, msgspec.Raw, Sequence[str]], Coroutine[None, None, bool]]
 
 
 class News:
@@ -16,18 +18,32 @@
 
     Parameters
     ----------
+    known : Acquaintances
+        Who is alive.
     mirror : StoreMirror
         Copy of the store that the news are taken from.
     tell_member : callable
         Tells the member at an address some news and whom to tell on; returns
         whether it answered.
+    now_ms : callable
+        Steady clock.
     """
 
-    def __init__(self, mirror: StoreMirror, tell_member: TellMember) -> None:
+    def __init__(
+        self,
+        known: Acquaintances,
+        mirror: StoreMirror,
+        tell_member: TellMember,
+        now_ms: Callable[[], float],
+    ) -> None:
+        self.known = known
         self.mirror = mirror
         self.tell_member = tell_member
+        self.now_ms = now_ms
         self._latest: tuple[int, int] | None = None
-        self._encoded = msgspec.Raw()
+        self._encoded = NO_NEWS
+        self._random = random.Random(known.own.name)
+        self._background = Background()
 
     def since(self, revision: int) -> msgspec.Raw:
         """Return what changed after a revision, encoded."""
@@ -37,6 +53,45 @@
             self._latest = wanted
         return self._encoded
 
+    def spread(self, since: int) -> None:
+        """Tell others what has changed since a revision.
+
+        All members of the own data centre are told, one of each other.
+
+        Parameters
+        ----------
+        since : int
+            Revision that was known before; 0 spreads nothing, as all begin then.
+        """
+        if since:
+            self.spread_near(self.since(since))
+            self.spread_far()
+
+    def spread_near(self, news: msgspec.Raw = NO_NEWS) -> None:
+        """Tell all members of the own data centre."""
+        own = self.known.own
+        near = [
+            member.address
+            for member in self.known.live(self.now_ms())[1:]
+            if member.data_centre == own.data_centre
+        ]
+        self._random.shuffle(near)
+        self._background.start(self.tell(news, near))
+
+    def spread_far(self) -> None:
+        """Tell one member of each other data centre that there are news."""
+        far: dict[str, list[str]] = {}
+        for member in self.known.live(self.now_ms())[1:]:
+            if member.data_centre != self.known.own.data_centre:
+                far.setdefault(member.data_centre, []).append(member.address)
+        for addresses in far.values():
+            address = self._random.choice(addresses)
+            self._background.start(self.tell_member(address, NO_NEWS, ()))
+
+    def tell_on(self, news: msgspec.Raw, addresses: Sequence[str]) -> None:
+        """Tell members in the background, as one was asked to."""
+        self._background.start(self.tell(news, addresses))
+
     async def tell(self, news: msgspec.Raw, addresses: Sequence[str]) -> None:
         """Tell members some news; return when all have been told or given up."""
         groups = divide_to_tell(addresses)
--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -29,6 +29,8 @@
         It stays encoded, as it is told on as it is.
     tell_on : tuple of str
         Addresses of the members that the receiver is to tell.
+    facts : tuple of Fact
+        What all daemons are to know of version moves.
     attended_age_ms : float
         Time since somebody was known to be watching the store.
     is_leaving : bool
@@ -44,6 +46,7 @@
     sightings: tuple['WireSighting', ...] = ()
     news: msgspec.Raw = NO_NEWS
     tell_on: tuple[str, ...] = ()
+    facts: tuple['Fact', ...] = ()
     attended_age_ms: float = NEVER_MS
     is_leaving: bool = False
 
@@ -53,6 +56,14 @@
         return Member(self.name, self.address, self.data_centre)
 
 
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """Carry what one daemon tells others of a version move."""
+
+    key: str
+    generation: int
+    blob: bytes
+
+
 class WireSighting(msgspec.Struct, frozen=True, array_like=True):
     """Carry a sighting; without names of fields, as there are many in a message."""
 
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -12,7 +12,6 @@
     Member,
     Sighting,
     chosen_watchers,
-    rank_names,
 )
 from cowsliploom.dataplane import (
     ConnectionPool,
@@ -23,7 +22,10 @@
 from cowsliploom.gateway._knowledge import Heard, Knowledge
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._news import News
+from cowsliploom.gateway._background import Background
+from cowsliploom.gateway._facts import FactBook
 from cowsliploom.gateway._peer_wire import (
+    Fact,
     PeerMessage,
     WireSighting,
     decode_message,
@@ -68,18 +70,19 @@
         apply_ms: float,
     ) -> None:
         self.known = known
-        self.knowledge = knowledge
-        self.log = log
+        self._knowledge = knowledge
+        self._log = log
         self.now_ms = now_ms
         self.attendance = Attendance(apply_ms)
+        self.facts = FactBook()
         self.listener = HttpListener(known.own.address, self._take)
         self._random = random.Random(known.own.name)
         self._pools: dict[str, ConnectionPool] = {}
         self._live: frozenset[str] = frozenset()
         self._others: tuple[Member, ...] = ()
         self._is_leaving = False
-        self._running: set[asyncio.Task[bool | None]] = set()
-        self._news = News(knowledge.mirror, self._tell_member)
+        self._background = Background()
+        self.news = News(known, knowledge.mirror, self._tell_member, now_ms)
         self._pulled_revision = 0
         self._pulled_ms = float('-inf')
 
@@ -118,37 +121,25 @@
         and while it hasn't heard that anybody watches.
         """
         now_ms = self.now_ms()
-        if self.knowledge.confirmed_age_ms(now_ms) > STALE_MS:
+        if self._knowledge.confirmed_age_ms(now_ms) > STALE_MS:
             return True
         if self.attendance.is_missing(now_ms):
             return True
         live = self.known.live(now_ms)
         return self.known.own in _watchers(live)
 
-    def spread(self, since: int) -> None:
-        """Tell others what has changed since a revision.
+    def spread_fact(self, fact: Fact) -> None:
+        """Tell everybody a fact for good; each message carries it from now on."""
+        self.facts.keep(fact)
+        self.news.spread_near()
+        self.news.spread_far()
 
-        All members of the own data centre are told, one of each other.
-
-        Parameters
-        ----------
-        since : int
-            Revision that was known before; 0 spreads nothing, as all begin then.
-        """
-        if not since:
-            return
-        near: list[str] = []
-        far: dict[str, list[str]] = {}
-        for member in self.known.live(self.now_ms())[1:]:
-            if member.data_centre == self.known.own.data_centre:
-                near.append(member.address)
-            else:
-                far.setdefault(member.data_centre, []).append(member.address)
-        self._random.shuffle(near)
-        if near:
-            self._start(self._news.tell(self._news.since(since), near))
-        for addresses in far.values():
-            self._start(self._exchange(self._random.choice(addresses)))
+    def tell_fact(self, fact: Fact, names: Iterable[str]) -> None:
+        """Tell some members a fact once."""
+        message = msgspec.structs.replace(self._message(), facts=(fact,))
+        for member in self._others:
+            if member.name in names:
+                self._background.start(self._send(member.address, message))
 
     def others(self) -> tuple[Member, ...]:
         """Return the other live members, by name."""
@@ -156,13 +147,7 @@
 
     def owns(self, server: str) -> bool:
         """Tell whether this daemon is the one that may ask a cold server."""
-        names = self.known.live_names(self.now_ms())
-        return rank_names(server, names, 1) == (self.known.own.name,)
-
-    def _start(self, work: Coroutine[None, None, bool | None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        return self.known.first_of(server, self.now_ms(), 1) == (self.known.own.name,)
 
     def partner(self) -> str | None:
         """Return whom to ask next: the watcher if it may be gone, or anybody."""
@@ -174,7 +159,7 @@
         return self.known.partner(now_ms)
 
     def _is_eager(self) -> bool:
-        stale = self.knowledge.confirmed_age_ms(self.now_ms()) > STALE_MS
+        stale = self._knowledge.confirmed_age_ms(self.now_ms()) > STALE_MS
         return stale or not self.known.has_heard
 
     def _note_members(self) -> None:
@@ -182,9 +167,9 @@
         live = frozenset(member.name for member in members)
         self._others = tuple(sorted(members[1:], key=_name))
         sharers = len(live) if self.known.has_heard else UNKNOWN_SHARERS
-        self.knowledge.desk.fleet.sharers = sharers
+        self._knowledge.desk.fleet.sharers = sharers
         if live != self._live:
-            self.log.write(
+            self._log.write(
                 'members',
                 'changed',
                 live=len(live),
@@ -216,7 +201,7 @@
             return False
         knows_same = self._hear(message)
         if not (knows_same or sent.sightings):
-            self._start(self._exchange(address, names_all=True))
+            self._background.start(self._exchange(address, names_all=True))
         return True
 
     def _pool(self, address: str) -> ConnectionPool:
@@ -229,17 +214,17 @@
     def _take(self, request: HttpRequest) -> None:
         message = decode_message(request.body)
         if message is None:
-            self.log.write('members', 'unreadable', bytes=len(request.body))
+            self._log.write('members', 'unreadable', bytes=len(request.body))
             request.answer(400, [], b'')
             return
         is_same_roster = self._hear(message)
         if message.tell_on:
-            self._start(self._news.tell(message.news, message.tell_on))
+            self.news.tell_on(message.news, message.tell_on)
         if self._is_to_pull(message.revision):
-            self._start(self._exchange(message.address))
+            self._background.start(self._exchange(message.address))
         answer = self._message(names_all=not is_same_roster)
-        if message.revision < self.knowledge.mirror.revision:
-            news = self._news.since(message.revision)
+        if message.revision < self._knowledge.mirror.revision:
+            news = self.news.since(message.revision)
             answer = msgspec.structs.replace(answer, news=news)
         headers = [('Content-Type', 'application/json')]
         request.answer(200, headers, encode_message(answer))
@@ -248,7 +233,7 @@
         """Tell whether to ask who knows a revision; not while it is being told."""
         now_ms = self.now_ms()
         is_open = now_ms - self._pulled_ms < TIMEOUT_MS
-        if revision <= self.knowledge.mirror.revision:
+        if revision <= self._knowledge.mirror.revision:
             return False
         if is_open and revision <= self._pulled_revision:
             return False
@@ -265,10 +250,11 @@
             own.name,
             own.address,
             own.data_centre,
-            self.knowledge.mirror.revision,
-            self.knowledge.confirmed_age_ms(now_ms),
+            self._knowledge.mirror.revision,
+            self._knowledge.confirmed_age_ms(now_ms),
             self.known.census(now_ms),
             tuple(WireSighting.of(sighting) for sighting in sightings),
+            facts=self.facts.kept(),
             attended_age_ms=0 if self.watches_store() else attended_age_ms,
             is_leaving=self._is_leaving,
         )
@@ -283,14 +269,17 @@
         self.known.hear((seen.sighting for seen in message.sightings), now_ms)
         is_same_roster = self.known.hear_ages(message.census, now_ms)
         self.attendance.hear(message.attended_age_ms, now_ms)
+        is_far = message.data_centre != self.known.own.data_centre
+        if self.facts.take(message.facts) and is_far:
+            self.news.spread_near()
         heard = Heard(message.name, message.age_ms)
         batch = decode_news(message.news)
-        known_revision = self.knowledge.mirror.revision
+        known_revision = self._knowledge.mirror.revision
         if batch is None:
-            self.knowledge.confirm(message.revision, heard, now_ms)
-        elif self.knowledge.take(batch, heard, now_ms):
-            if message.data_centre != self.known.own.data_centre:
-                self.spread(known_revision)
+            self._knowledge.confirm(message.revision, heard, now_ms)
+        elif self._knowledge.take(batch, heard, now_ms):
+            if is_far:
+                self.news.spread(known_revision)
         return is_same_roster
 
 
--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -169,7 +169,7 @@
     async def _open(self) -> None:
         try:
             connection = await open_frames(self.address, self._take, self._lost)
-        except (OSError, asyncio.TimeoutError) as error:
+        except OSError as error:
             self._opening = None
             self._waiting.clear()
             self._fail(CallStep.CONNECT, repr(error), may_have_run=False)
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -84,7 +84,7 @@
         self._lists_next = False
         known_revision = self.knowledge.mirror.revision
         if self.knowledge.take(reply, Heard('store'), self.peers.now_ms()):
-            self.peers.spread(known_revision)
+            self.peers.news.spread(known_revision)
         return PAUSE_MS
 
     def _answered(self) -> None:
--- /dev/null
+++ b/cowsliploom/gateway/_version_moves.py
@@ -0,0 +1,286 @@
+"""The version moves that operators order, as one entry VM takes part in them.
+
+Loaded with the first order, as most processes never see one.
+"""
+
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from cowsliploom import platform
+from cowsliploom.forwarding import SeenCall, VersionSplit
+from cowsliploom.gateway._background import Background
+from cowsliploom.gateway._knowledge import Knowledge
+from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._ordered import Ordered, decode_state
+from cowsliploom.gateway._peer_wire import Fact
+from cowsliploom.gateway._peers import Peers
+from cowsliploom.platform.moves import render_move_status
+from cowsliploom.ports import Absent, Conflict, Swapped, Unanswered
+from cowsliploom.protocol import StoredValue
+from cowsliploom.rollout import (
+    CAUTIOUS_SCHEDULE,
+    AnnounceFact,
+    Appointment,
+    CandidateChanged,
+    Controller,
+    EvidencePace,
+    Move,
+    MoveState,
+    MoveStatus,
+    ReadState,
+    Rollout,
+    RolloutCommand,
+    ShareHeard,
+    SharesChanged,
+    StateRead,
+    StateSwapped,
+    SwapState,
+)
+
+MS_PER_S = 1000
+STORE_TIMEOUT_MS = 1000
+STATE_PREFIX = 'moves/'  # how far each move is, for whoever is the controller next
+JOB = 'version-moves'
+JUDGES = 2  # hear all evidence: the controller, and who would be the next one
+NOT_SENT = Unanswered('move.write', 'store', maybe_applied=False, reason='order gone')
+PACE = EvidencePace(interval_ms=500, entries_max=10_000, bytes_per_s=60_000)
+
+
+class VersionMoves:
+    """Own this entry VM's part in all version moves.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        Orders, states and servers.
+    peers : Peers
+        Who is the controller, and how facts are told.
+    store : PlatformStore
+        Where states are kept.
+    log : LineLog
+        Log of shares and ends.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        peers: Peers,
+        store: platform.PlatformStore,
+        log: LineLog,
+    ) -> None:
+        own = peers.known.own.name
+        start = str(time.time_ns())
+        controller = Controller(Appointment(), CAUTIOUS_SCHEDULE)
+        self._rollout = Rollout(own, start, controller, PACE)
+        self._knowledge = knowledge
+        self._peers = peers
+        self._store = store
+        self._log = log
+        self._ordered: dict[str, Ordered] = {}
+        self._ended: dict[str, int] = {}
+        self._running: tuple[Move, ...] = ()
+        self._entries = 0
+        self._state_revisions: dict[str, int] = {}
+        self._background = Background()
+        knowledge.desk.calls.on_call = self._sample
+        peers.facts.on_fact = self._hear
+        for fact in peers.facts.kept():
+            self._hear(fact)
+
+    def tick(self) -> None:
+        """Take what has changed, judge, and move shares where that is due here."""
+        self._take_orders()
+        self._declare()
+        self._take_states()
+        self._declare()
+        now_ms = self._peers.now_ms()
+        is_first = self._judges()[0] == self._peers.known.own.name
+        self._perform(self._rollout.control(CandidateChanged(now_ms, is_first)))
+        self._perform(self._rollout.tick(now_ms, time.time() * MS_PER_S))
+
+    def _judges(self) -> tuple[str, ...]:
+        return self._peers.known.first_of(JOB, self._peers.now_ms(), JUDGES)
+
+    def _take_orders(self) -> None:
+        orders = self._knowledge.orders
+        now_ms = self._peers.now_ms()
+        for service, order in orders.items():
+            known = self._ordered.get(service)
+            if known is None or known.order != order:
+                self._ordered[service] = Ordered(order, now_ms)
+                self._state_revisions.pop(service, None)
+        for gone in self._ordered.keys() - orders.keys():
+            self._ordered.pop(gone)
+            self._state_revisions.pop(gone, None)
+
+    def _take_states(self) -> None:
+        for service in self._ordered:
+            item = self._knowledge.mirror.get(f'{STATE_PREFIX}{service}')
+            known_revision = self._state_revisions.get(service, 0)
+            if item is not None and item.revision > known_revision:
+                self._state_revisions[service] = item.revision
+                state = decode_state(item.content)
+                if state is not None:
+                    self._take_state(service, state, item.revision)
+
+    def _take_state(self, service: str, state: MoveState, revision: int) -> None:
+        ordered = self._ordered[service]
+        if not ordered.concerns(state):
+            return
+        now_ms = self._peers.now_ms()
+        ordered = ordered.not_before(state, now_ms)
+        self._ordered[service] = ordered
+        self._log.write(
+            'move',
+            'share',
+            service=service,
+            to_version=state.to_version,
+            share=state.share,
+            step=state.step,
+            status=state.status.value,
+            reason=state.reason,
+            revision=revision,
+        )
+        if state.status is not MoveStatus.RUNNING:
+            self._ended[service] = ordered.order.revision
+            split = VersionSplit(state.to_version, state.share)
+            self._knowledge.desk.fleet.split(service, split)
+        heard = ShareHeard(now_ms, service, ordered.localized(state), revision)
+        self._perform(self._rollout.control(heard))
+
+    def _declare(self) -> None:
+        """Judge and control the moves that still run; ended ones keep their share."""
+        running = tuple(self._running_moves())
+        entries = len(self._peers.others()) + 1
+        if (running, entries) == (self._running, self._entries):
+            return
+        known = {move.service for move in self._running}
+        self._running = running
+        self._entries = entries
+        now_ms = self._peers.now_ms()
+        self._perform(self._rollout.declare(now_ms, running, entries))
+        calls = self._knowledge.desk.calls
+        calls.watched = self._rollout.moved_services()
+        for service in calls.watched - known:
+            for call in calls.latest(service):
+                self._sample(call)
+        self._peers.facts.forget_unless(self._is_open_veto)
+
+    def _running_moves(self) -> Iterator[Move]:
+        fleet = self._knowledge.desk.fleet
+        for service, ordered in self._ordered.items():
+            if self._ended.get(service) != ordered.order.revision:
+                versions = [server.record.version for server in fleet.serving(service)]
+                yield ordered.as_move(versions.count(ordered.order.to_version))
+
+    def _is_open_veto(self, key: str) -> bool:
+        """Tell whether a veto's key is on an order that still stands."""
+        _, service, _, generation = key.split('/')
+        ordered = self._ordered.get(service)
+        return ordered is not None and int(generation) >= ordered.order.revision
+
+    def _sample(self, call: SeenCall) -> None:
+        ordered = self._ordered.get(call.server.record.service)
+        if ordered is not None:
+            self._rollout.sample(ordered.sample(call))
+
+    def _hear(self, fact: Fact) -> None:
+        now_ms = self._peers.now_ms()
+        if fact.key.startswith(self._peers.facts.lasting_prefix):
+            self._log.write('move', 'veto heard', veto=fact.key)
+        commands = self._rollout.hear(now_ms, fact.key, fact.generation, fact.blob)
+        self._perform(commands)
+
+    def _perform(self, commands: tuple[RolloutCommand, ...]) -> None:
+        for command in commands:
+            match command:
+                case SharesChanged():
+                    self._split(command)
+                case AnnounceFact():
+                    self._announce(command)
+                case ReadState(move):
+                    self._background.start(self._read(move))
+                case SwapState():
+                    self._background.start(self._swap(command))
+
+    def _split(self, changed: SharesChanged) -> None:
+        for share in changed.shares:
+            split = VersionSplit(share.to_version, share.share)
+            self._knowledge.desk.fleet.split(share.service, split)
+
+    def _announce(self, told: AnnounceFact) -> None:
+        """Tell a veto to all, evidence to those who judge; states are the store's."""
+        fact = Fact(told.key, told.generation, told.blob)
+        if told.key.startswith(self._peers.facts.lasting_prefix):
+            veto = self._rollout.vetoes()[-1]
+            self._log.write(
+                'move',
+                'vetoed',
+                service=veto.service,
+                to_version=veto.to_version,
+                reason=veto.reason.value,
+                evidence=veto.evidence,
+            )
+            self._peers.spread_fact(fact)
+        elif told.key.startswith('evidence/'):
+            self._peers.tell_fact(fact, self._judges())
+
+    async def _read(self, service: str) -> None:
+        reply = await self._store.read(f'{STATE_PREFIX}{service}', STORE_TIMEOUT_MS)
+        answer: StoredValue | Absent | Unanswered
+        match reply:
+            case None:
+                answer = Absent(service)
+            case platform.StoreUnanswered():
+                answer = self._unanswered(reply)
+            case _:
+                answer = self._stored(service, reply.revision, reply.content)
+        event = StateRead(self._peers.now_ms(), service, answer)
+        self._perform(self._rollout.control(event))
+
+    def _stored(
+        self, service: str, revision: int, content: bytes
+    ) -> StoredValue | Absent:
+        state = decode_state(content)
+        ordered = self._ordered.get(service)
+        if state is not None and ordered is not None and ordered.concerns(state):
+            content = msgspec.json.encode(ordered.localized(state))
+        text = content.decode(errors='replace')
+        return StoredValue(service, revision, text, 0)
+
+    async def _swap(self, command: SwapState) -> None:
+        answer = await self._write(command)
+        event = StateSwapped(self._peers.now_ms(), command.move, answer)
+        self._perform(self._rollout.control(event))
+
+    async def _write(self, command: SwapState) -> Swapped | Conflict | Unanswered:
+        """Write a state, and what the operator reads of it, together."""
+        ordered = self._ordered.get(command.move)
+        state = msgspec.json.decode(command.text, type=MoveState)
+        if ordered is None or not ordered.concerns(state):
+            return NOT_SENT
+        content = msgspec.json.encode(ordered.globalized(state))
+        writes = (
+            platform.KeyText(f'{STATE_PREFIX}{command.move}', content),
+            render_move_status(ordered.order, state.status),
+        )
+        reply = await self._store.write(
+            command.expected_version, writes, STORE_TIMEOUT_MS
+        )
+        match reply:
+            case platform.Written(revision):
+                return Swapped(revision)
+            case platform.ChangedMeanwhile():
+                return Conflict(0)
+            case _:
+                return self._unanswered(reply)
+
+    def _unanswered(self, reply: platform.StoreUnanswered) -> Unanswered:
+        self._log.write(
+            'move', 'store unanswered', step=reply.step, reason=reply.reason
+        )
+        return Unanswered(
+            reply.step, reply.peer, maybe_applied=True, reason=reply.reason
+        )
--- a/cowsliploom/gateway/tests/test_knowledge.py
+++ b/cowsliploom/gateway/tests/test_knowledge.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cowsliploom.forwarding import BudgetRules, ForwardingDesk
+from cowsliploom.forwarding._fleet import CallLimits
 from cowsliploom.gateway._knowledge import Heard, Knowledge
 from cowsliploom.gateway._line_log import BUFFER_BYTES_MAX, LineLog
 from cowsliploom.gateway._peer_wire import (
@@ -106,6 +107,65 @@
     assert ('configuration', 'unreadable') in [line[:2] for line in knowledge.log.lines]
 
 
+def test_many_registrations_at_once_are_logged_as_one_line():
+    """Lines of 675 servers pushed the line of a new configuration out of the log."""
+    knowledge = make_knowledge()
+    items = tuple(server(f'n{number}', 10 + number) for number in range(60))
+    knowledge.take(Batch(99, (configuration(1, 5), *items)), STORE, 0)
+    assert [line[:2] for line in knowledge.log.lines] == [
+        ('configuration', 'taken'),
+        ('server', 'many changed'),
+    ]
+
+
+def order(revision, text=b'{"service":"s","targetVersion":"v2","durationS":12}'):
+    """Return an operator's order as the store holds it."""
+    return MirrorItem('op/rollout/s', text, revision)
+
+
+def chosen(knowledge, count=100):
+    """Return the versions of the servers that are chosen for calls."""
+    limits = CallLimits(10, 100)
+    fleet = knowledge.desk.fleet
+    picks = (fleet.choose('s', (), 0, limits) for _ in range(count))
+    return {pick.record.version for pick in picks}
+
+
+def test_an_ordered_version_gets_nothing_until_its_share_is_known():
+    knowledge = make_knowledge()
+    knowledge.take(Batch(6, (order(6), server('a', 5))), STORE, 0)
+    knowledge.take(Batch(7, (server('b', 7, version='v2'),)), STORE, 0)
+    assert chosen(knowledge) == {'v1'}
+    knowledge.take(Batch(8, (), (Removal('servers/a', 8),)), STORE, 10)
+    assert chosen(knowledge) == {'v2'}
+
+
+def test_servers_of_all_versions_are_asked_when_the_order_is_gone():
+    knowledge = make_knowledge()
+    servers = (server('a', 5), server('b', 7, version='v2'))
+    knowledge.take(Batch(7, (order(6), *servers)), STORE, 0)
+    knowledge.take(Batch(8, (), (Removal('op/rollout/s', 8),)), STORE, 10)
+    assert not knowledge.orders
+    assert chosen(knowledge) == {'v1', 'v2'}
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'',
+        b'{"service":"s","targetVersion":"v2"}',
+        b'{"service":"s","targetVersion":"","durationS":12}',
+        b'{"service":"s","targetVersion":"v2","durationS":-1}',
+        b'{"service":"s","targetVersion":2,"durationS":12}',
+    ],
+)
+def test_an_order_that_cannot_be_read_changes_nothing(text):
+    knowledge = make_knowledge()
+    knowledge.take(Batch(6, (order(6, text),)), STORE, 0)
+    assert not knowledge.orders
+    assert ('move', 'unreadable') in [line[:2] for line in knowledge.log.lines]
+
+
 def test_an_entry_of_another_writer_harms_no_other():
     knowledge = make_knowledge()
     bad = MirrorItem('servers/bad', b'\xff\x00', 6)
--- a/cowsliploom/gateway/tests/test_news.py
+++ b/cowsliploom/gateway/tests/test_news.py
@@ -1,6 +1,7 @@
 """News reach every member soon, whoever of them is silent."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -24,6 +25,12 @@
 APPLY_MS = 3000
 
 
+def make_news(mirror, tell):
+    """Return the news of a member that knows nobody."""
+    known = Acquaintances(Member('watcher', 'w:1', 'de'), (), 1)
+    return News(known, mirror, tell, time.monotonic)
+
+
 class Fleet:
     """Members that tell each other, some of them silent."""
 
@@ -48,7 +55,7 @@
                 await self.news_of(address).tell(news, tell_on)
             return True
 
-        return News(self.mirror, tell)
+        return make_news(self.mirror, tell)
 
 
 @pytest.mark.parametrize('count', [1, 2, 7, 22])
@@ -70,7 +77,7 @@
 
 def test_news_are_encoded_once_for_all_who_know_as_much():
     fleet = Fleet(0)
-    news = News(fleet.mirror, None)
+    news = make_news(fleet.mirror, None)
     first = news.since(1)
     assert news.since(1) is first
     assert decode_news(first).items[0].key == 'k'
--- a/cowsliploom/members/_acquaintances.py
+++ b/cowsliploom/members/_acquaintances.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from cowsliploom.members._members import Member
+from cowsliploom.members._rendezvous import rank_names
 
 LIVE_MS = 4000.0  # silence after which a member no longer counts
 FORGET_MS = 20_000.0  # silence after which nobody speaks of a member any more
@@ -160,6 +161,10 @@
         """Return the names of the live members."""
         return tuple(member.name for member in self.live(now_ms))
 
+    def first_of(self, job: str, now_ms: float, count: int) -> tuple[str, ...]:
+        """Return the names of the live members that are first for a job."""
+        return rank_names(job, self.live_names(now_ms), count)
+
     def partner(self, now_ms: float) -> str | None:
         """Return the address to exchange with next.
 
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -2,9 +2,11 @@
 
 from cowsliploom.platform._documents import CONFIGURATION_KEY as CONFIGURATION_KEY
 from cowsliploom.platform._documents import EVACUATION_PREFIX as EVACUATION_PREFIX
+from cowsliploom.platform._documents import MOVE_PREFIX as MOVE_PREFIX
 from cowsliploom.platform._documents import SERVER_PREFIX as SERVER_PREFIX
 from cowsliploom.platform._documents import DocumentError as DocumentError
 from cowsliploom.platform._documents import decode_configuration as decode_configuration
+from cowsliploom.platform._documents import decode_order as decode_order
 from cowsliploom.platform._documents import decode_server as decode_server
 from cowsliploom.platform._documents import evacuated_zones as evacuated_zones
 from cowsliploom.platform._headers import WireReply as WireReply
@@ -20,6 +22,9 @@
 from cowsliploom.platform._settings import MachineSettings as MachineSettings
 from cowsliploom.platform._settings import SettingsError as SettingsError
 from cowsliploom.platform._settings import read_settings as read_settings
+from cowsliploom.platform._store import ChangedMeanwhile as ChangedMeanwhile
 from cowsliploom.platform._store import HistoryGone as HistoryGone
+from cowsliploom.platform._store import KeyText as KeyText
 from cowsliploom.platform._store import PlatformStore as PlatformStore
 from cowsliploom.platform._store import StoreUnanswered as StoreUnanswered
+from cowsliploom.platform._store import Written as Written
--- a/cowsliploom/platform/_documents.py
+++ b/cowsliploom/platform/_documents.py
@@ -8,6 +8,7 @@
 from cowsliploom.forwarding import (
     CallerLimits,
     Gather,
+    MoveOrder,
     Route,
     RouteTable,
     ServerRecord,
@@ -19,6 +20,7 @@
 CONFIGURATION_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 SERVER_PREFIX = 'servers/'
+MOVE_PREFIX = 'op/rollout/'
 MS_PER_S = 1000
 SAFE = 'safe'
 ATTEMPTS_DEFAULT = 1
@@ -98,6 +100,12 @@
     born: int = 0
 
 
+class _WireOrder(msgspec.Struct, rename='camel'):
+    service: str
+    target_version: str
+    duration_s: float = msgspec.field(name='durationS')
+
+
 def decode_configuration(text: bytes) -> RouteTable:
     """Decode the operator's configuration, whole.
 
@@ -164,6 +172,26 @@
     return ''
 
 
+def decode_order(key: str, text: bytes, revision: int) -> MoveOrder:
+    """Decode the operator's order to move a service to another version.
+
+    Raises
+    ------
+    DocumentError
+        If a field is missing, of another type or out of range.
+    """
+    try:
+        wire = msgspec.json.decode(text, type=_WireOrder)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise DocumentError(key, str(error)) from error
+    is_given = math.isfinite(wire.duration_s) and wire.duration_s >= 0
+    if not (is_given and wire.service and wire.target_version):
+        raise DocumentError(key, 'no service, version or time')
+    return MoveOrder(
+        wire.service, wire.target_version, wire.duration_s * MS_PER_S, revision
+    )
+
+
 def evacuated_zones(keys: Iterable[str]) -> frozenset[str]:
     """Return the data centres that are to get nothing more."""
     return frozenset(
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
@@ -14,8 +15,10 @@
 
 CONNECT_TIMEOUT_MS = 1000
 OK = 200
+NOT_FOUND = 404
 HISTORY_GONE = 410
-PROBE_STATUSES = frozenset((OK, 404))
+CHANGED = 412
+PROBE_STATUSES = frozenset((OK, NOT_FOUND))
 PAGES_MAX = 64
 
 Found = TypeVar('Found')
@@ -47,6 +50,28 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeyText:
+    """Hold what is to be written to a key."""
+
+    key: str
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """Report that all writes of a transaction took effect at a revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangedMeanwhile:
+    """Report that a key was at another revision than expected; nothing was written."""
+
+    key: str
+
+
 class _WireItem(msgspec.Struct):
     key: str
     revision: int
@@ -65,6 +90,10 @@
     current_rev: int
 
 
+class _WireRevision(msgspec.Struct):
+    revision: int
+
+
 class PlatformStore:
     """Call the store; each call returns, none raises on an outage.
 
@@ -113,6 +142,49 @@
         reply = await self._call('probe', 'GET', path, timeout_ms)
         return isinstance(reply, HttpAnswer) and reply.status in PROBE_STATUSES
 
+    async def read(
+        self, key: str, timeout_ms: float
+    ) -> MirrorItem | None | StoreUnanswered:
+        """Return a key's item as it is now; None where there is none."""
+        path = f'/v1/kv-key?key={quote(key, safe="")}'
+        reply = await self._call('read', 'GET', path, timeout_ms)
+        if isinstance(reply, HttpAnswer) and reply.status == NOT_FOUND:
+            return None
+        item = self._decode(reply, 'store.read', _WireItem)
+        return item if isinstance(item, StoreUnanswered) else _items([item])[0]
+
+    async def write(
+        self, expected_revision: int, writes: Sequence[KeyText], timeout_ms: float
+    ) -> Written | ChangedMeanwhile | StoreUnanswered:
+        """Write keys, all or none, if the first is at a revision (0: not there).
+
+        Notes
+        -----
+        A call that got no answer may have taken effect, or may yet.
+        """
+        guarded = writes[0].key
+        body = msgspec.json.encode(
+            {
+                'expectedRevision': [{'key': guarded, 'revision': expected_revision}],
+                'writes': [
+                    {
+                        'key': write.key,
+                        'value': base64.b64encode(write.content).decode(),
+                        'lease': 0,
+                    }
+                    for write in writes
+                ],
+                'deletes': [],
+            }
+        )
+        reply = await self._call('write', 'POST', '/v1/kv-txn', timeout_ms, body)
+        if isinstance(reply, HttpAnswer) and reply.status == CHANGED:
+            return ChangedMeanwhile(guarded)
+        written = self._decode(reply, 'store.write', _WireRevision)
+        if isinstance(written, StoreUnanswered):
+            return written
+        return Written(written.revision)
+
     async def watch(
         self, prefix: str, after: int, wait_ms: int, timeout_ms: float
     ) -> Batch | HistoryGone | StoreUnanswered:
@@ -136,12 +208,17 @@
         return Batch(events.current_rev, _items(written), removals, since=after)
 
     async def _call(
-        self, kind: str, method: str, path: str, timeout_ms: float
+        self, kind: str, method: str, path: str, timeout_ms: float, body: bytes = b''
     ) -> CallResult | None:
         """Return the answer, the failure, or None when there was none in time."""
         self.calls[kind] += 1
-        head = f'{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n'
-        return await self._pool.ask(head.encode('latin-1'), timeout_ms)
+        lines = [f'{method} {path} HTTP/1.1', f'Host: {self.address}']
+        if body:
+            lines.append('Content-Type: application/json')
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join((*lines, '', ''))
+        content = head.encode('latin-1') + body
+        return await self._pool.ask(content, timeout_ms)
 
     def _decode(
         self, reply: CallResult | None, step: str, kind: type[Found]
--- /dev/null
+++ b/cowsliploom/platform/moves.py
@@ -0,0 +1,28 @@
+"""How far version moves are, as operators read it; loaded only where moves are made."""
+
+import msgspec
+
+from cowsliploom.forwarding import MoveOrder
+from cowsliploom.platform._store import KeyText
+from cowsliploom.rollout import MoveStatus
+
+STATUS_PREFIX = 'status/rollout/'
+
+_STATES = {
+    MoveStatus.RUNNING: 'running',
+    MoveStatus.FINISHED: 'completed',
+    MoveStatus.TAKEN_BACK: 'rolled_back',
+}
+
+
+def render_move_status(order: MoveOrder, status: MoveStatus) -> KeyText:
+    """Return what tells the operator how far a move is.
+
+    Examples
+    --------
+    >>> order = MoveOrder('rota', 'v2', given_ms=12_000, revision=7)
+    >>> render_move_status(order, MoveStatus.FINISHED).key
+    'status/rollout/rota'
+    """
+    document = {'state': _STATES[status], 'targetVersion': order.to_version}
+    return KeyText(f'{STATUS_PREFIX}{order.service}', msgspec.json.encode(document))
--- a/cowsliploom/rollout/_baseline.py
+++ b/cowsliploom/rollout/_baseline.py
@@ -16,8 +16,8 @@
 RATE_MIN = 0.001  # a rate of zero would make one bad call infinite evidence
 RATE_MAX = 0.95  # a version that always fails is bad whatever the old one does
 LATENCIES_MAX = 256  # latest good calls that make the p95
-LATENCIES_MIN = 30  # fewer don't give a p95
-LATENCIES_RENEWED = 16  # new calls that make the p95 worth computing again
+LATENCIES_MIN = 10  # fewer don't give a p95
+LATENCIES_RENEWED = 10  # new calls that make the p95 worth computing again
 QUANTILE = 0.95
 
 
--- a/cowsliploom/rollout/_controller.py
+++ b/cowsliploom/rollout/_controller.py
@@ -21,7 +21,7 @@
     SwapState,
 )
 from cowsliploom.rollout._judge import MovesDeclared, VetoHeard
-from cowsliploom.rollout._leadership import Leadership
+from cowsliploom.rollout._leadership import Appointment, Leadership
 from cowsliploom.rollout._moves import (
     Move,
     MoveState,
@@ -29,7 +29,12 @@
     Veto,
     share_fact,
 )
-from cowsliploom.rollout._schedule import SHARES, Progress, is_step_due
+from cowsliploom.rollout._schedule import (
+    DEFAULT_SCHEDULE,
+    Progress,
+    Schedule,
+    is_step_due,
+)
 
 RETRY_MS = 1000  # between tries of a call on the store that failed
 FOLLOWER_READ_MS = 10_000  # a candidate that heard no state by then asks
@@ -53,12 +58,14 @@
 
 
 class Controller:
-    """Move shares by schedule while holding the lease; follow the moves otherwise.
+    """Move shares by schedule while being the controller; follow moves otherwise.
 
     Parameters
     ----------
-    holder : str
-        Name and incarnation of the daemon.
+    leadership : Leadership or Appointment
+        How this daemon becomes the controller.
+    schedule : Schedule
+        Shares that a move goes through. By default those of the product.
 
     Notes
     -----
@@ -70,16 +77,21 @@
     Examples
     --------
     >>> from cowsliploom.rollout import Controller, ControllerTick, Move
-    >>> from cowsliploom.rollout import MovesDeclared
-    >>> controller = Controller('entry-1#1')
+    >>> from cowsliploom.rollout import Leadership, MovesDeclared
+    >>> controller = Controller(Leadership('entry-1#1'))
     >>> move = Move('rota-2', 'van-rota', 'v1', 'v2', 1, 60_000)
     >>> _ = controller.step(MovesDeclared(0, (move,), entries=1))
     >>> controller.step(ControllerTick(10, samples={}))[0].call.holder
     'entry-1#1'
     """
 
-    def __init__(self, holder: str) -> None:
-        self._leadership = Leadership(holder)
+    def __init__(
+        self,
+        leadership: Leadership | Appointment,
+        schedule: Schedule = DEFAULT_SCHEDULE,
+    ) -> None:
+        self._leadership = leadership
+        self._schedule = schedule
         self._watched: dict[str, _Watched] = {}
         self._vetoes: dict[tuple[str, str, int], Veto] = {}
         self._is_candidate = True
@@ -91,8 +103,9 @@
                 self._declare(event)
             case CandidateChanged(is_candidate=is_candidate):
                 self._is_candidate = is_candidate
+                self._lead_anew(self._leadership.appoint(is_chosen=is_candidate))
             case LeaseAnswered():
-                self._take_lease(event)
+                self._lead_anew(self._leadership.take(event))
             case StateRead():
                 return self._take_read(event)
             case StateSwapped():
@@ -135,8 +148,9 @@
         if len(self._vetoes) > VETOES_MAX:
             self._vetoes.pop(next(iter(self._vetoes)))
 
-    def _take_lease(self, answered: LeaseAnswered) -> None:
-        if self._leadership.take(answered):
+    def _lead_anew(self, is_new: bool) -> None:
+        """Read each state again as a new controller, and count samples from now."""
+        if is_new:
             for watched in tuple(self._watched.values()):
                 newly_led = replace(
                     watched, is_known=False, samples_at_step=NOT_COUNTED
@@ -257,7 +271,8 @@
         if not state.belongs_to(move):
             if _may_be_stale(watched, now_ms):
                 return None
-            state = _first_state(move, store_ms, self._leadership.token)
+            share = self._schedule.shares[0]
+            state = _first_state(move, share, store_ms, self._leadership.token)
             return self._taken_back(move, state) or state
         taken_back = self._taken_back(move, state)
         if taken_back is not None or state.status is not MoveStatus.RUNNING:
@@ -269,8 +284,9 @@
             finish_by_ms=move.finish_by_ms,
             samples=seen,
         )
-        if is_step_due(progress, store_ms):
-            return _next_step(state, store_ms, self._leadership.token)
+        if is_step_due(progress, store_ms, self._schedule):
+            state = replace(state, updated_ms=store_ms, token=self._leadership.token)
+            return _next_step(state, self._schedule)
         return None
 
     def _taken_back(self, move: Move, state: MoveState) -> MoveState | None:
@@ -297,27 +313,25 @@
     return now_ms < watched.declared_ms + STALE_SPEC_MS
 
 
-def _first_state(move: Move, store_ms: float, token: int) -> MoveState:
+def _first_state(move: Move, share: float, store_ms: float, token: int) -> MoveState:
     return MoveState(
         generation=move.generation,
         to_version=move.to_version,
         status=MoveStatus.RUNNING,
         step=0,
-        share=SHARES[0],
+        share=share,
         started_ms=store_ms,
         updated_ms=store_ms,
         token=token,
     )
 
 
-def _next_step(state: MoveState, store_ms: float, token: int) -> MoveState:
+def _next_step(state: MoveState, schedule: Schedule) -> MoveState:
     step = state.step + 1
-    is_last = step == len(SHARES) - 1
+    is_last = step == len(schedule.shares) - 1
     return replace(
         state,
         status=MoveStatus.FINISHED if is_last else MoveStatus.RUNNING,
         step=step,
-        share=SHARES[step],
-        updated_ms=store_ms,
-        token=token,
+        share=schedule.shares[step],
     )
--- a/cowsliploom/rollout/_judge.py
+++ b/cowsliploom/rollout/_judge.py
@@ -9,12 +9,31 @@
 from cowsliploom.rollout._samples import RecordSample
 
 BLOCK_MS = 250  # calls are tested in blocks; a veto waits at most this long
-EVIDENCE_INTERVAL_MS = 1000  # a daemon tells its counts at most this often
-EVIDENCE_ENTRIES_MAX = 64  # in larger fleets each daemon sees enough by itself
-EVIDENCE_BYTES_PER_S = 2000  # of all daemons of the fleet, while a move runs
 MS_PER_S = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class EvidencePace:
+    """Bound what evidence costs.
+
+    Parameters
+    ----------
+    interval_ms : float
+        A daemon tells its counts at most this often.
+    entries_max : int
+        In larger fleets each daemon judges by itself.
+    bytes_per_s : float
+        Evidence of all daemons together, while a move runs.
+    """
+
+    interval_ms: float = 1000
+    entries_max: int = 64
+    bytes_per_s: float = 2000
+
+
+DEFAULT_PACE = EvidencePace()
+
+
 @dataclass(frozen=True, slots=True)
 class MovesDeclared:
     """Take the declared moves and the number of daemons that judge them."""
@@ -62,7 +81,7 @@
     told_ms: float = 0
     told_calls: int = 0
     told_generation: int = 0
-    interval_ms: float = EVIDENCE_INTERVAL_MS
+    interval_ms: float = 0
 
     def has_news(self) -> bool:
         """Tell whether the new version was called since the last telling."""
@@ -78,6 +97,8 @@
         Name of this daemon.
     incarnation : str
         Differs for each start of the daemon.
+    pace : EvidencePace
+        Bounds of what is told. By default those of the product.
 
     Notes
     -----
@@ -108,9 +129,12 @@
     [<BadKind.ERRORS: 'errors'>]
     """
 
-    def __init__(self, daemon: str, incarnation: str) -> None:
+    def __init__(
+        self, daemon: str, incarnation: str, pace: EvidencePace = DEFAULT_PACE
+    ) -> None:
         self.daemon = daemon
         self.incarnation = incarnation
+        self.pace = pace
         self._cases: dict[str, _Case] = {}
         self._entries = 1
         self._block_ms = float('-inf')
@@ -186,9 +210,10 @@
         if finding is not None:
             case.is_closed = True
             return (_veto(case.trial.move, finding),)
-        if self._entries > EVIDENCE_ENTRIES_MAX or not case.has_news():
+        if self._entries > self.pace.entries_max or not case.has_news():
             return ()
-        if tick.now_ms < case.told_ms + case.interval_ms:
+        interval_ms = max(self.pace.interval_ms, case.interval_ms)
+        if tick.now_ms < case.told_ms + interval_ms:
             return ()
         return (self._tell(case, tick),)
 
@@ -208,7 +233,7 @@
         case.told_calls = case.trial.own_new_calls
         case.told_generation = max(case.told_generation + 1, int(tick.wall_ms))
         fleet_bytes = len(blob) * self._entries * MS_PER_S
-        case.interval_ms = max(EVIDENCE_INTERVAL_MS, fleet_bytes / EVIDENCE_BYTES_PER_S)
+        case.interval_ms = fleet_bytes / self.pace.bytes_per_s
         key = f'evidence/{move.name}/{self.daemon}'
         return AnnounceFact(key, case.told_generation, blob)
 
--- a/cowsliploom/rollout/_leadership.py
+++ b/cowsliploom/rollout/_leadership.py
@@ -1,4 +1,4 @@
-"""The controller's lease as its holder sees it."""
+"""Who may act as the controller: by a lease, or by appointment."""
 
 import math
 
@@ -43,6 +43,10 @@
         self.token = 0
         self._until_ms = -math.inf
 
+    def appoint(self, *, is_chosen: bool) -> bool:
+        """Return whether the lease was newly won; being chosen wins none."""
+        return False
+
     def next_call(self, now_ms: float) -> tuple[CallLease, ...]:
         """Return the call on the lease that is due."""
         if self._is_open or now_ms < self._next_call_ms:
@@ -72,3 +76,44 @@
         self._next_call_ms = answered.sent_ms + RENEW_MS
         self._store_lead_ms = granted.store_ms - answered.now_ms
         return is_new
+
+
+class Appointment:
+    """Act as the controller while chosen by all members, without a lease.
+
+    Notes
+    -----
+    Two members may think that they are chosen while they can't hear each other. Each
+    write names the version of the state that it follows, so only one of them takes
+    effect, and the other reads again. Time is the member's own.
+    """
+
+    token = 0
+
+    def __init__(self) -> None:
+        self._is_chosen = False
+
+    def is_held(self, now_ms: float) -> bool:
+        """Tell whether this daemon may act as the controller."""
+        return self._is_chosen
+
+    def store_ms(self, now_ms: float) -> float:
+        """Return the member's own time."""
+        return now_ms
+
+    def step_down(self) -> None:
+        """Go on: only a lease has tokens."""
+
+    def appoint(self, *, is_chosen: bool) -> bool:
+        """Take whether this daemon is chosen; return whether it newly is."""
+        is_new = is_chosen and not self._is_chosen
+        self._is_chosen = is_chosen
+        return is_new
+
+    def next_call(self, now_ms: float) -> tuple[CallLease, ...]:
+        """Return no call, as there is no lease."""
+        return ()
+
+    def take(self, answered: LeaseAnswered) -> bool:
+        """Return that no lease was won."""
+        return False
--- a/cowsliploom/rollout/_rollout.py
+++ b/cowsliploom/rollout/_rollout.py
@@ -13,12 +13,15 @@
 from cowsliploom.rollout._controller import Controller
 from cowsliploom.rollout._evidence import EvidenceError, decode_evidence
 from cowsliploom.rollout._judge import (
+    DEFAULT_PACE,
     EvidenceHeard,
+    EvidencePace,
     Judge,
     JudgeTick,
     MovesDeclared,
     VetoHeard,
 )
+from cowsliploom.rollout._leadership import Leadership
 from cowsliploom.rollout._moves import (
     Move,
     MoveState,
@@ -41,6 +44,10 @@
         Name of this daemon.
     incarnation : str
         Differs for each start of the daemon.
+    controller : Controller or None
+        How shares move; by default one daemon moves them by lease.
+    pace : EvidencePace
+        Bounds of what evidence costs. By default those of the product.
 
     Examples
     --------
@@ -50,9 +57,17 @@
     (SharesChanged(now_ms=0, shares=()),)
     """
 
-    def __init__(self, daemon: str, incarnation: str) -> None:
-        self._judge = Judge(daemon, incarnation)
-        self._controller = Controller(f'{daemon}#{incarnation}')
+    def __init__(
+        self,
+        daemon: str,
+        incarnation: str,
+        controller: Controller | None = None,
+        pace: EvidencePace = DEFAULT_PACE,
+    ) -> None:
+        self._judge = Judge(daemon, incarnation, pace)
+        self._controller = controller or Controller(
+            Leadership(f'{daemon}#{incarnation}')
+        )
         self._moves: tuple[Move, ...] = ()
         self._shares: tuple[VersionShare, ...] | None = None
         self._unreadable_facts = 0
--- a/cowsliploom/rollout/_schedule.py
+++ b/cowsliploom/rollout/_schedule.py
@@ -7,10 +7,42 @@
 SHARES = (0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.0)
 EARLY_END = 0.6  # of the time given, when each step has its evidence
 LATE_END = 0.9  # of the time given, whatever the traffic; the rest is slack
-STEP_MIN_MS = 3000  # a bad version shows before the next step, also when late
+STEP_MIN_MS = 3000.0  # a bad version shows before the next step, also when late
 STEP_SAMPLES = 100  # calls of the new version that let a step end early
 
 
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """Say which shares a move goes through, and how fast.
+
+    Parameters
+    ----------
+    shares : tuple of float
+        Shares in order; the last one stands twice.
+    early_end, late_end : float
+        Part of the time given at which the last step is taken: when each step has
+        its evidence, and whatever the traffic.
+    step_min_ms : float
+        No step is shorter.
+    """
+
+    shares: tuple[float, ...] = SHARES
+    early_end: float = EARLY_END
+    late_end: float = LATE_END
+    step_min_ms: float = STEP_MIN_MS
+
+
+DEFAULT_SCHEDULE = Schedule()
+
+# A version that turns bad late must have met few requests by then, so the share stays
+# low for as long as the time given allows, and no step ends early.
+CAUTIOUS_SCHEDULE = Schedule(
+    shares=(0.02, 0.05, 0.05, 0.1, 0.1, 0.1, 0.1, 0.3, 1.0, 1.0),
+    early_end=LATE_END,
+    step_min_ms=500,
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Progress:
     """Hold where a move stands; all times by one clock, in milliseconds.
@@ -34,7 +66,9 @@
     samples: int
 
 
-def is_step_due(progress: Progress, now_ms: float) -> bool:
+def is_step_due(
+    progress: Progress, now_ms: float, schedule: Schedule = DEFAULT_SCHEDULE
+) -> bool:
     """Tell whether the next share is due.
 
     The time left is divided among the steps left. A step ends early when it has
@@ -48,18 +82,18 @@
     >>> is_step_due(fresh, 6000), is_step_due(fresh, 9000)
     (False, True)
     """
-    if progress.step >= len(SHARES) - 1:
+    if progress.step >= len(schedule.shares) - 1:
         return False
     waited_ms = now_ms - progress.updated_ms
-    if waited_ms >= _wait_ms(progress, LATE_END):
+    if waited_ms >= _wait_ms(progress, schedule, schedule.late_end):
         return True
     seen = progress.samples >= STEP_SAMPLES
-    return seen and waited_ms >= _wait_ms(progress, EARLY_END)
+    return seen and waited_ms >= _wait_ms(progress, schedule, schedule.early_end)
 
 
-def _wait_ms(progress: Progress, end: float) -> float:
+def _wait_ms(progress: Progress, schedule: Schedule, end: float) -> float:
     """Return how long the current step lasts if the last one is at ``end``."""
     given_ms = progress.finish_by_ms - progress.started_ms
     left_ms = progress.started_ms + end * given_ms - progress.updated_ms
-    steps_left = len(SHARES) - 1 - progress.step
-    return max(STEP_MIN_MS, left_ms / steps_left)
+    steps_left = len(schedule.shares) - 1 - progress.step
+    return max(schedule.step_min_ms, left_ms / steps_left)
--- a/cowsliploom/rollout/tests/moves_world.py
+++ b/cowsliploom/rollout/tests/moves_world.py
@@ -140,7 +140,7 @@
         self.rng = random.Random(self.seed)
         self.store = FakeStore()
         self.now_ms: float = 0
-        self.rollouts = [Rollout(f'entry-{idx}', 'a') for idx in range(self.daemons)]
+        self.rollouts = [self.make_rollout(idx) for idx in range(self.daemons)]
         self.shares: list[float] = [0 for _ in range(self.daemons)]
         self.latest_share: float = 0
         self.dead: set[int] = set()
@@ -159,6 +159,10 @@
         self.fact_bytes = 0
         self.declare(configuration(self.finish_by_ms, self.servers))
 
+    def make_rollout(self, idx: int) -> Rollout:
+        """Return the part of one daemon."""
+        return Rollout(f'entry-{idx}', 'a')
+
     def declare(self, declared: Configuration) -> None:
         for daemon, rollout in enumerate(self.rollouts):
             self.perform(
@@ -205,10 +209,14 @@
         if fact.key.startswith('veto') and self.vetoed_ms > self.now_ms:
             self.vetoed_ms = self.now_ms
             self.vetoed_share = self.latest_share
-        for other in range(self.daemons):
+        for other in self.hearers(fact):
             if other != daemon and not {other, daemon} & self.cut:
                 self.facts.append((self.now_ms + GOSSIP_MS, other, fact))
 
+    def hearers(self, fact: AnnounceFact) -> range:
+        """Return which daemons hear of a fact."""
+        return range(self.daemons)
+
     def _gossip(self) -> None:
         due = [heard for heard in self.facts if heard[0] <= self.now_ms]
         self.facts = [heard for heard in self.facts if heard[0] > self.now_ms]
--- /dev/null
+++ b/cowsliploom/rollout/tests/test_bounded_exposure.py
@@ -0,0 +1,129 @@
+"""On the users' platform a bad version meets few requests, whenever it turns bad."""
+
+from collections import deque
+from dataclasses import dataclass
+
+import pytest
+
+from cowsliploom.rollout import (
+    CAUTIOUS_SCHEDULE,
+    Appointment,
+    CandidateChanged,
+    Controller,
+    EvidencePace,
+    MoveStatus,
+    Rollout,
+)
+from cowsliploom.rollout.tests.moves_world import (
+    World,
+    configuration,
+    fails,
+    fails_fast,
+    on_route,
+    slows,
+    under_load,
+)
+
+EXPOSED_SHARE = 0.1  # of all requests between the order and its deadline
+EXPOSED_SLACK = 50
+BAD_MAX = 50  # bad answers after which a version has to be given up soon
+GIVE_UP_MS = 5000
+WARM_UP_MS = 12_000
+REMEMBERED = 32  # calls before the order that a daemon remembers
+PACE = EvidencePace(interval_ms=500, entries_max=10_000, bytes_per_s=60_000)
+
+BAD = {
+    'fails_always': fails(1),
+    'fails_often': fails(0.3),
+    'fails_fast': fails_fast,
+    'slows': slows(4),
+    'fails_on_one_route': on_route('briefing', fails(0.5)),
+    'fails_under_load': under_load(0.3, fails(0.5)),
+    'slows_under_load': under_load(0.3, slows(4)),
+}
+
+
+@dataclass
+class BoundedWorld(World):
+    """Daemons that are appointed, tell evidence to two, and remember past calls."""
+
+    daemons: int = 8
+
+    def __post_init__(self):
+        super().__post_init__()
+        self.order = configuration(self.finish_by_ms + WARM_UP_MS, self.servers)
+        self.past = [deque(maxlen=REMEMBERED) for _ in range(self.daemons)]
+        self.ordered_calls = 0
+        self.exposed = 0
+        self.exposed_owed = 0
+        self.bad_answers = 0
+        self.give_up_ms = float('inf')
+        self.late_calls = 0
+
+    def make_rollout(self, idx):
+        """Return the part of one daemon; the first is the controller."""
+        controller = Controller(Appointment(), CAUTIOUS_SCHEDULE)
+        rollout = Rollout(f'entry-{idx}', 'a', controller, PACE)
+        rollout.control(CandidateChanged(0, is_candidate=idx == 0))
+        return rollout
+
+    def hearers(self, fact):
+        """Tell evidence to the controller and the next one, the rest to all."""
+        return range(2 if fact.key.startswith('evidence') else self.daemons)
+
+    def declare(self, declared):
+        """Order the move only once there was traffic."""
+
+    def order_move(self):
+        """Order the move."""
+        World.declare(self, self.order)
+
+    def play(self):
+        """Play the time before the order, the move and a while after it."""
+        self.run(WARM_UP_MS)
+        self.order_move()
+        for daemon, rollout in enumerate(self.rollouts):
+            for sample in self.past[daemon]:
+                rollout.sample(sample)
+        self.ordered_calls = self.calls
+        return self.run(WARM_UP_MS + self.finish_by_ms + 20_000)
+
+    def _call(self, daemon):
+        before = self.new_calls
+        sample = super()._call(daemon)
+        if self.new_calls == before:
+            self.past[daemon].append(sample)
+            return sample
+        self.late_calls += self.now_ms > self.give_up_ms
+        if self.now_ms <= WARM_UP_MS + self.finish_by_ms:
+            self.exposed += 1
+        if not sample.ok or sample.elapsed_ms > 15:
+            self.bad_answers += 1
+            if self.bad_answers == BAD_MAX:
+                self.give_up_ms = self.now_ms + GIVE_UP_MS
+        return sample
+
+    def allowed(self):
+        """Return how many requests a bad version may have met in time."""
+        per_ms = self.calls_per_s / 1000
+        return EXPOSED_SHARE * per_ms * self.finish_by_ms + EXPOSED_SLACK
+
+
+@pytest.mark.parametrize('calls_per_s', [11, 45, 200])
+@pytest.mark.parametrize('given_ms', [12_000, 30_000, 60_000])
+@pytest.mark.parametrize('case', BAD)
+def test_bad_version_meets_few_requests(case, given_ms, calls_per_s):
+    world = BoundedWorld(
+        seed=5, new=BAD[case], finish_by_ms=given_ms, calls_per_s=calls_per_s, cold_ms=0
+    ).play()
+    assert world.exposed <= world.allowed()
+    assert world.late_calls == 0
+
+
+@pytest.mark.parametrize('calls_per_s', [2, 45, 200])
+@pytest.mark.parametrize('given_ms', [12_000, 30_000])
+def test_good_version_is_finished_in_time(given_ms, calls_per_s):
+    world = BoundedWorld(finish_by_ms=given_ms, calls_per_s=calls_per_s).play()
+    assert world.store.state().status is MoveStatus.FINISHED
+    assert world.finished_ms <= WARM_UP_MS + given_ms
+    assert not any(rollout.vetoes() for rollout in world.rollouts)
--- a/cowsliploom/rollout/tests/test_controller.py
+++ b/cowsliploom/rollout/tests/test_controller.py
@@ -15,6 +15,7 @@
     CandidateChanged,
     Controller,
     ControllerTick,
+    Leadership,
     LeaseAnswered,
     Move,
     MovesDeclared,
@@ -42,7 +43,7 @@
 
     def __init__(self, store: FakeStore, name: str = 'a'):
         self.store = store
-        self.controller = Controller(name)
+        self.controller = Controller(Leadership(name))
         self.facts: list[AnnounceFact] = []
         self.lost: dict[type, str] = {}
         self.take(MovesDeclared(0, (MOVE,), 2))
--- a/cowsliploom/standins/_users_store.py
+++ b/cowsliploom/standins/_users_store.py
@@ -28,11 +28,31 @@
         Whether calls get no answer at all.
     is_deaf : bool
         Whether watches hear nothing.
+    loses_writes : bool
+        Whether transactions take effect and are never answered.
     """
 
     status: int = 0
     is_silent: bool = False
     is_deaf: bool = False
+    loses_writes: bool = False
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Transaction(msgspec.Struct, rename='camel'):
+    expected_revision: list[_Expected]
+    writes: list[_Write]
+    deletes: list[str]
 
 
 class UsersStore:
@@ -40,7 +60,8 @@
 
     Notes
     -----
-    Only what the entry daemon calls is there: reads, ranges and watches.
+    Only what the entry daemon calls is there: reads, ranges, watches and
+    transactions without leases.
     """
 
     def __init__(self) -> None:
@@ -88,6 +109,11 @@
         self._history.append({'key': key, 'revision': self.revision, 'tombstone': True})
         return self.revision
 
+    def get(self, key: str) -> bytes | None:
+        """Return a key's content."""
+        item = self._items.get(key)
+        return None if item is None else base64.b64decode(str(item['value']))
+
     def forget_history(self) -> None:
         """Drop what watches could hear."""
         self._history.clear()
@@ -107,6 +133,8 @@
                 self._read(request, query.get('key', ''))
             case '/v1/kv-range':
                 self._list(request, query.get('prefix', ''), query.get('after', ''))
+            case '/v1/kv-txn':
+                self._write(request)
             case '/v1/kv-watch':
                 watching = asyncio.get_running_loop().create_task(
                     self._watch(request, query)
@@ -131,6 +159,27 @@
         more = len(keys) > PAGE_ITEMS
         _answer(request, {'items': page, 'hasMore': more, 'currentRev': self.revision})
 
+    def _write(self, request: HttpRequest) -> None:
+        """Write all keys if those that are named are at their revisions."""
+        wire = msgspec.json.decode(request.body, type=_Transaction)
+        for expected in wire.expected_revision:
+            item = self._items.get(expected.key, {'revision': 0})
+            if expected.revision != _revision(item):
+                request.answer(412, [JSON], msgspec.json.encode({'items': []}))
+                return
+        self.revision += 1
+        for write in wire.writes:
+            item = {
+                'key': write.key,
+                'value': write.value,
+                'revision': self.revision,
+                'lease': write.lease,
+            }
+            self._items[write.key] = item
+            self._history.append(item)
+        if not self.faults.loses_writes:
+            _answer(request, {'revision': self.revision})
+
     async def _watch(self, request: HttpRequest, query: dict[str, str]) -> None:
         after = int(query['after'])
         prefix = query.get('prefix', '')
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -6,186 +6,22 @@
 import sys
 import time
 
-import msgspec
 import pytest
 
-from cowsliploom.dataplane import ConnectionPool, HttpAnswer, HttpCall
-from cowsliploom.standins import UsersBackend, UsersStore
+from tests.processes.gateway_world import (
+    MANY,
+    PLACE,
+    SHARDS,
+    ask,
+    configuration,
+    play,
+)
 
 pytestmark = pytest.mark.processes
 
-SHARDS = ('s0', 's1', 's2', 's3')
-MANY = tuple(f'k{number:02}' for number in range(48))  # so many are shared out
-PLACE = f'127.0.{os.getpid() % 250 + 1}'  # apart for each test process
-START_S = 10
 LATE_S = 0.6  # the target is 0.15 s; the machine may be busy
 
 
-def configuration(version, **extra):
-    """Return the operator's configuration as it is written."""
-    wide = {
-        'name': 'wide',
-        'host': 'h',
-        'prefix': '/wide/',
-        'kind': 'safe',
-        'timeoutMs': 1500,
-        'targetLatencyMs': 150,
-        'fanoutServices': SHARDS,
-        'topK': 3,
-        'minShardShare': 0.5,
-        'maxAttempts': 2,
-    }
-    once = {
-        'name': 'once',
-        'host': 'h',
-        'prefix': '/once/',
-        'kind': 'unsafe',
-        'timeoutMs': 1500,
-        'targetLatencyMs': 500,
-        'service': 'one',
-        'maxAttempts': 2,
-    }
-    many = {
-        **wide,
-        'name': 'many',
-        'prefix': '/many/',
-        'fanoutServices': MANY,
-        'minShardShare': 0.9,
-    }
-    names = (*SHARDS, 'one', *MANY)
-    services = [{'name': name, 'maxConnections': 55} for name in names]
-    routes = [wide, once, many]
-    return msgspec.json.encode(
-        {'version': version, 'routes': routes, 'services': services, **extra}
-    )
-
-
-def settings(number, store_address, seeds):
-    """Return the text of a gateway's settings file."""
-    host = f'{PLACE}.{number}'
-    return '\n'.join(
-        (
-            f'node=vm-{number}',
-            'zone=de',
-            f'listen.front={host}:18100',
-            f'listen.ready={host}:18101',
-            f'listen.control={host}:18102',
-            'internalPorts=18103,18110',
-            f'platform.address={store_address}',
-            f'seeds={seeds}',
-            'bounds.retryBudgetRatio=0.2',
-            'bounds.retryBudgetExtra=50',
-            'bounds.retryWindowS=10',
-            'bounds.graceS=4',
-        )
-    )
-
-
-class World:
-    """A store, backend servers and gateways."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.store = UsersStore()
-        self.backends = {}
-        self.processes = {}
-
-    async def __aenter__(self):
-        """Start the stand-ins and tell the store of them."""
-        await self.store.start()
-        for number, service in enumerate((*SHARDS, 'one')):
-            backend = UsersBackend(f'i-{service}', service, bytes([65 + number]) * 16)
-            await backend.start()
-            self.backends[service] = backend
-            self.store.put(f'servers/{backend.name}', backend.entry())
-        self.store.put('op/config', configuration(3))
-        return self
-
-    async def add_many(self):
-        """Start the servers of a query of many shards."""
-        for number, service in enumerate(MANY):
-            content = bytes([100 + number]) * 16
-            backend = UsersBackend(f'i-{service}', service, content)
-            await backend.start()
-            self.backends[service] = backend
-            self.store.put(f'servers/{backend.name}', backend.entry())
-
-    async def shared_fleet(self):
-        """Start gateways that share queries out, and wait until they know all."""
-        await self.add_many()
-        for number in (2, 3, 4, 5, 6):
-            await self.gateway(number, f'{PLACE}.2:18102')
-        for number in (2, 3, 4, 5, 6):
-            await self.ready(number)
-        end = time.monotonic() + START_S
-        while time.monotonic() < end:
-            log = (self.folder / 'vm-2.log').read_text()
-            if '"event":"changed","live":5' in log and 'i-k47' in log:
-                return
-            await asyncio.sleep(0.1)
-        raise AssertionError('the gateways have not met')
-
-    async def gateway(self, number, seeds=''):
-        """Start a gateway."""
-        path = self.folder / f'vm-{number}.conf'
-        path.write_text(settings(number, self.store.address, seeds))
-        log = (self.folder / f'vm-{number}.log').open('wb')
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'cowsliploom.gateway',
-            env={**os.environ, 'COWSLIPLOOM_SETTINGS': str(path)},
-            stdout=log,
-            stderr=log,
-        )
-        self.processes[number] = process
-        return process
-
-    async def ready(self, number):
-        """Wait until a gateway is ready."""
-        end = time.monotonic() + START_S
-        while time.monotonic() < end:
-            answer = await ask(f'{PLACE}.{number}:18101', '/v1/ready')
-            if isinstance(answer, HttpAnswer) and answer.status == 200:
-                return
-            await asyncio.sleep(0.05)
-        raise AssertionError((self.folder / f'vm-{number}.log').read_text())
-
-    async def __aexit__(self, *_exc):
-        """End all that was started here."""
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        for backend in self.backends.values():
-            await backend.close()
-        await self.store.close()
-
-
-async def ask(address, target, method='GET', body=b'', request_id='r-1'):
-    """Send a caller's request and return the result."""
-    head = (
-        f'{method} {target} HTTP/1.1\r\nHost: h\r\nRequest-Id: {request_id}\r\n'
-        f'Deadline: 1400\r\nContent-Length: {len(body)}\r\n\r\n'
-    )
-    done = asyncio.get_running_loop().create_future()
-    pool = ConnectionPool(address)
-    pool.send(HttpCall(head.encode() + body, done.set_result))
-    result = await asyncio.wait_for(done, 5)
-    pool.close()
-    return result
-
-
-def play(folder, script):
-    """Run a script in a world of its own."""
-
-    async def run():
-        async with World(folder) as world:
-            await script(world)
-
-    asyncio.run(run())
-
-
 def test_requests_are_served_from_parts_and_by_one_server(tmp_path):
     async def script(world):
         await world.gateway(2)
--- /dev/null
+++ b/tests/processes/test_gateway_moves.py
@@ -0,0 +1,192 @@
+"""Version moves that operators order, on gateways as real processes."""
+
+import asyncio
+import time
+
+import msgspec
+import pytest
+
+from cowsliploom.members import rank_names
+from cowsliploom.standins import UsersBackend
+from tests.processes.gateway_world import PLACE, ask, play
+
+pytestmark = pytest.mark.processes
+
+GATEWAYS = (2, 3, 4)
+GIVEN_S = 8
+SLACK_S = 3  # the machine may be busy
+CALLERS = 6
+PAUSE_S = 0.05  # between two requests of a caller
+EXPOSED_SHARE = 0.1
+EXPOSED_SLACK = 50
+GIVE_UP_S = 5
+
+
+class Movement:
+    """A service with servers of two versions, under load, and an order to move it."""
+
+    def __init__(self, world):
+        self.world = world
+        self.old = []
+        self.new = []
+        self.statuses = []
+        self.callers = []
+
+    async def start(self):
+        """Start servers, gateways and load, and wait until all is warm."""
+        self.old = [self.world.backends['one'], await self.server('one-b', 'v1')]
+        for number in GATEWAYS:
+            await self.world.gateway(number, f'{PLACE}.2:18102')
+        for number in GATEWAYS:
+            await self.world.ready(number)
+        loop = asyncio.get_running_loop()
+        self.callers = [loop.create_task(self.call(idx)) for idx in range(CALLERS)]
+        await asyncio.sleep(2)
+
+    async def server(self, name, version):
+        """Start a server of the service."""
+        backend = UsersBackend(f'i-{name}', 'one', b'Z' * 16)
+        await backend.start()
+        self.world.backends[name] = backend
+        entry = backend.entry(version=version)
+        self.world.store.put(f'servers/{backend.name}', entry)
+        return backend
+
+    async def call(self, idx):
+        """Send requests until cancelled."""
+        number = 0
+        while True:
+            number += 1
+            gateway = GATEWAYS[(idx + number) % len(GATEWAYS)]
+            if self.world.processes[gateway].returncode is None:
+                answer = await ask(
+                    f'{PLACE}.{gateway}:18100',
+                    '/single/x',
+                    request_id=f'r-{idx}-{number}',
+                )
+                self.statuses.append(getattr(answer, 'status', 0))
+            await asyncio.sleep(PAUSE_S)
+
+    async def order(self, **faults):
+        """Start servers of the new version, and order the move."""
+        order = {'service': 'one', 'targetVersion': 'v2', 'durationS': GIVEN_S}
+        self.world.store.put('op/rollout/one', msgspec.json.encode(order))
+        self.new = [await self.server(f'new-{idx}', 'v2') for idx in range(2)]
+        for server in self.new:
+            for fault, setting in faults.items():
+                setattr(server.faults, fault, setting)
+
+    def state(self):
+        """Return what the operator reads of the move."""
+        text = self.world.store.get('status/rollout/one')
+        return msgspec.json.decode(text)['state'] if text else ''
+
+    def ran(self, servers):
+        """Return how many requests some servers have run."""
+        return sum(len(server.ran) for server in servers)
+
+    async def until(self, is_true, within_s):
+        """Wait until something holds."""
+        end = time.monotonic() + within_s
+        while not is_true():
+            assert time.monotonic() < end, self.world.logs()
+            await asyncio.sleep(0.05)
+
+    async def __aenter__(self):
+        """Start."""
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_exc):
+        """Stop the load."""
+        for caller in self.callers:
+            caller.cancel()
+        await asyncio.gather(*self.callers, return_exceptions=True)
+
+
+def play_move(folder, script):
+    """Play a script on a service that can be moved."""
+
+    async def run(world):
+        async with Movement(world) as movement:
+            await script(movement)
+
+    play(folder, run)
+
+
+async def is_moved(movement):
+    """Wait until the move is completed, and see that the old servers are left."""
+    await movement.until(lambda: movement.state() == 'completed', GIVEN_S + SLACK_S)
+    old, new = movement.ran(movement.old), movement.ran(movement.new)
+    await asyncio.sleep(1)
+    assert movement.ran(movement.old) == old
+    assert movement.ran(movement.new) > new
+
+
+async def is_given_up(movement):
+    """Wait until the new version gets nothing more, within the bounds."""
+    before = movement.ran(movement.old)
+    await asyncio.sleep(GIVEN_S)
+    exposed = movement.ran(movement.new)
+    total = exposed + movement.ran(movement.old) - before
+    assert 0 < exposed <= EXPOSED_SHARE * total + EXPOSED_SLACK
+    await asyncio.sleep(1)
+    assert movement.ran(movement.new) == exposed
+
+
+def test_a_good_version_has_all_requests_in_the_time_given(tmp_path):
+    async def script(movement):
+        await movement.order()
+        await is_moved(movement)
+        assert set(movement.statuses) == {200}
+
+    play_move(tmp_path, script)
+
+
+@pytest.mark.parametrize(
+    'faults', [{'status': 500}, {'delay_ms': 120}], ids=['fails', 'slow']
+)
+def test_a_bad_version_is_taken_back(tmp_path, faults):
+    async def script(movement):
+        await movement.order(**faults)
+        await is_given_up(movement)
+        assert movement.state() == 'rolled_back'
+
+    play_move(tmp_path, script)
+
+
+def test_a_bad_version_is_given_up_while_the_store_is_silent(tmp_path):
+    async def script(movement):
+        await movement.order(status=500)
+        await movement.until(lambda: movement.ran(movement.new) > 2, GIVEN_S)
+        movement.world.store.faults.is_silent = True
+        await is_given_up(movement)
+        assert movement.state() == 'running'
+        movement.world.store.faults.is_silent = False
+        await movement.until(lambda: movement.state() == 'rolled_back', GIVE_UP_S)
+
+    play_move(tmp_path, script)
+
+
+def test_the_next_controller_goes_on_when_the_first_is_killed(tmp_path):
+    async def script(movement):
+        await movement.order()
+        await movement.until(lambda: movement.state() == 'running', SLACK_S)
+        names = [f'vm-{number}' for number in GATEWAYS]
+        first = rank_names('version-moves', names, 1)[0]
+        movement.world.processes[int(first.removeprefix('vm-'))].kill()
+        await is_moved(movement)
+
+    play_move(tmp_path, script)
+
+
+def test_writes_without_an_answer_cost_no_step(tmp_path):
+    async def script(movement):
+        await movement.order()
+        await movement.until(lambda: movement.state() == 'running', SLACK_S)
+        movement.world.store.faults.loses_writes = True
+        await asyncio.sleep(GIVEN_S / 4)
+        movement.world.store.faults.loses_writes = False
+        await is_moved(movement)
+
+    play_move(tmp_path, script)
