Add a fault soak of real gateways behind proxies

Change: three gateways as processes, a store and backend servers behind proxies on loopback that delay, reset, silence or cut one way; a seed draws faults that overlap; promises are checked from what callers and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format bench clean
+.PHONY: demo test lint format bench soak clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,5 +28,8 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.run_all
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seeds 1-50 --jobs 2
+
 clean:
-	rm -rf $(VENV) build .demo
+	rm -rf $(VENV) build .demo .soak
--- a/cowsliploom/standins/_users_backend.py
+++ b/cowsliploom/standins/_users_backend.py
@@ -85,6 +85,10 @@
         }
         return msgspec.json.encode({**fields, **changes})
 
+    def content_for(self, request_id: str) -> bytes:
+        """Return the body of the answer to a request."""
+        return self.content
+
     def _take(self, request: HttpRequest) -> None:
         headers = {name.lower(): text for name, text in request.headers}
         self.arrived.append({**headers, 'target': request.target})
@@ -110,4 +114,5 @@
             ('Response-Signature', f'{self.name}.{request_id}'),
             ('Server-Load', '1,0,2'),
         ]
-        request.answer(self.faults.status, headers, self.content)
+        body = self.content_for(request_id)
+        request.answer(self.faults.status, headers, body)
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,153 @@
+"""A fleet for the soak: store, backend servers and gateways, all behind proxies."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import time
+
+import msgspec
+
+from cowsliploom.standins import UsersStore
+from tests.processes.gateway_world import PLACE, settings
+from tests.soak.backends import SoakBackend
+from tests.soak.proxy import Proxy
+
+GATEWAYS = (2, 3, 4)
+SHARDS = tuple(f's{number}' for number in range(6))
+COPIES = 2
+TIMEOUT_MS = 1500
+TARGET_MS = 200
+RECORDS_MAX = 5
+COVERAGE_MIN = 0.5
+RESTART_S = 0.3
+GRACE_S = 4
+
+
+def routes(version: int) -> list[dict[str, object]]:
+    """Return the routes of a version; one of them only this version has."""
+    common = {'host': 'h', 'timeoutMs': TIMEOUT_MS, 'maxAttempts': 2}
+    wide = {
+        **common,
+        'targetLatencyMs': TARGET_MS,
+        'kind': 'safe',
+        'fanoutServices': SHARDS,
+        'topK': RECORDS_MAX,
+        'minShardShare': COVERAGE_MIN,
+    }
+    one = {**common, 'targetLatencyMs': 500, 'service': 'one'}
+    return [
+        {**wide, 'name': 'wide', 'prefix': '/wide/'},
+        {**one, 'name': 'safe', 'prefix': '/safe/', 'kind': 'safe'},
+        {**one, 'name': 'once', 'prefix': '/once/', 'kind': 'unsafe'},
+        {**one, 'name': 'new', 'prefix': f'/v{version}/', 'kind': 'safe'},
+    ]
+
+
+class SoakWorld:
+    """Own the stand-ins and the processes of one run.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = UsersStore()
+        self.backends: dict[str, SoakBackend] = {}
+        self.store_proxies: dict[int, Proxy] = {}
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.version = 0
+        self.versions: list[tuple[float, int]] = []
+        self.is_over = False
+
+    async def __aenter__(self) -> 'SoakWorld':
+        """Start everything and wait until all gateways are ready."""
+        await self.store.start()
+        for service in (*SHARDS, 'one'):
+            for copy in range(COPIES):
+                await self.add_backend(f'{service}-{copy}', service)
+        self.configure()
+        for number in GATEWAYS:
+            self.store_proxies[number] = Proxy(self.store.address)
+            await self.store_proxies[number].start()
+            await self.start_gateway(number)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """End all that was started here."""
+        self.is_over = True
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for backend in self.backends.values():
+            await backend.close()
+        for proxy in self.store_proxies.values():
+            await proxy.close()
+        await self.store.close()
+
+    async def add_backend(
+        self, name: str, service: str, **changes: object
+    ) -> SoakBackend:
+        """Start a backend server and register it."""
+        backend = SoakBackend(f'i-{name}', service)
+        await backend.start()
+        self.backends[name] = backend
+        self.store.put(f'servers/{backend.name}', backend.register(**changes))
+        return backend
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        names = (*SHARDS, 'one')
+        services = [{'name': name, 'maxConnections': 30} for name in names]
+        document = {
+            'version': self.version,
+            'routes': routes(self.version),
+            'services': services,
+        }
+        self.store.put('op/config', msgspec.json.encode(document))
+        self.versions.append((time.monotonic(), self.version))
+
+    async def start_gateway(self, number: int) -> None:
+        """Start a gateway's process; its log goes on."""
+        seeds = ','.join(f'{PLACE}.{other}:18102' for other in GATEWAYS)
+        path = self.folder / f'vm-{number}.conf'
+        path.write_text(settings(number, self.store_proxies[number].address, seeds))
+        log = (self.folder / f'vm-{number}.log').open('ab')
+        self.processes[number] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'cowsliploom.gateway',
+            env={**os.environ, 'COWSLIPLOOM_SETTINGS': str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def kill(self, number: int) -> None:
+        """Kill a gateway and start it again."""
+        process = self.processes[number]
+        process.kill()
+        await process.wait()
+        await asyncio.sleep(RESTART_S)
+        await self.start_gateway(number)
+
+    async def stop(self, number: int) -> float:
+        """Ask a gateway to stop, start it again, and return how long it took."""
+        process = self.processes[number]
+        started = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S + 1)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        took_s = time.monotonic() - started
+        await asyncio.sleep(RESTART_S)
+        await self.start_gateway(number)
+        return took_s
