Notice a suspension, reload bounds for known services, and forget peers' pools

Change: the boot clock is compared with the steady one four times a second; after a gap what is known counts as older by it, so the machine watches the store at once, and idle connections are closed. Budgets take new bounds. One class owns pools by name, for servers and peers. The line is logged. Tests failed first for the budgets (no such call before) and pools; ages by a test each.

--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -9,6 +9,7 @@
 from cowsliploom.dataplane._client import HttpAnswer as HttpAnswer
 from cowsliploom.dataplane._client import HttpCall as HttpCall
 from cowsliploom.dataplane._client import HttpFailure as HttpFailure
+from cowsliploom.dataplane._pools import ConnectionPools as ConnectionPools
 from cowsliploom.dataplane._server import HttpListener as HttpListener
 from cowsliploom.dataplane._server import HttpRequest as HttpRequest
 from cowsliploom.dataplane._sockets import HeaderList as HeaderList
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -336,11 +336,15 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def drop_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in tuple(self._idle):
+            connection.close()
+
     def close(self) -> None:
         """Close idle connections now, the others when their call has ended."""
         self._is_closed = True
-        for connection in tuple(self._idle):
-            connection.close()
+        self.drop_idle()
 
     async def _open(self, call: HttpCall) -> None:
         host, port = split_address(self.address)
--- a/cowsliploom/dataplane/tests/test_dataplane.py
+++ b/cowsliploom/dataplane/tests/test_dataplane.py
@@ -6,6 +6,7 @@
 
 from cowsliploom.dataplane import (
     ConnectionPool,
+    ConnectionPools,
     HttpAnswer,
     HttpCall,
     HttpFailure,
@@ -314,3 +315,27 @@
         return asking.cancelled()
 
     assert asyncio.run(play())
+
+
+def test_pools_that_are_not_wanted_any_more_are_closed():
+    async def play():
+        listener = HttpListener('127.0.0.1:0', answer_ok)
+        await listener.start()
+        pools = ConnectionPools()
+        content = b'GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n'
+        for name in ('kept', 'gone'):
+            await pools.get(name, listener.address).ask(content, 2000)
+        gone, kept = pools.get('gone', ''), pools.get('kept', '')
+        pools.keep({'kept'}.__contains__)
+        assert (len(gone), len(kept)) == (0, 1)
+        pools.drop_idle()
+        assert not len(kept)
+        assert pools.get('kept', '') is kept
+        await listener.close()
+
+    asyncio.run(play())
+
+
+def answer_ok(request):
+    """Answer a request."""
+    request.answer(200, [], b'')
--- a/cowsliploom/forwarding/_budget.py
+++ b/cowsliploom/forwarding/_budget.py
@@ -70,6 +70,11 @@
         self.requests = WindowCount(window_ms)
         self.spent = WindowCount(window_ms * 1.1)  # a slice more, as slices are coarse
 
+    def change(self, ratio: float, extra: float) -> None:
+        """Take other bounds; what was counted stays."""
+        self.ratio = ratio
+        self.extra = extra
+
     def earn(self, now_ms: float) -> None:
         """Count a request."""
         self.requests.add(now_ms)
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -113,6 +113,12 @@
         """Note how late something that was due has been looked at."""
         self._lateness.add(max(0, late_ms))
 
+    def change_budget(self, rules: BudgetRules) -> None:
+        """Take other bounds of extra calls, for services that are known too."""
+        self.budget_rules = rules
+        for budget in self._budgets.values():
+            budget.change(rules.ratio, rules.extra)
+
     def take_table(self, table: RouteTable) -> bool:
         """Take a table of a higher version; tell whether it was."""
         if table.version <= self.table.version:
--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from cowsliploom import platform
-from cowsliploom.dataplane import CallResult, ConnectionPool, HttpAnswer, HttpCall
+from cowsliploom.dataplane import CallResult, ConnectionPools, HttpAnswer, HttpCall
 from cowsliploom.forwarding import (
     CallAnswered,
     CallFailed,
@@ -15,6 +15,7 @@
     ExchangeEvent,
     ForwardingDesk,
     SendCall,
+    Server,
     Ticked,
 )
 
@@ -33,25 +34,23 @@
     def __init__(self, desk: ForwardingDesk) -> None:
         self.desk = desk
         self.loop = asyncio.get_running_loop()
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools = ConnectionPools()
 
     def now_ms(self) -> float:
         """Return the steady clock in milliseconds."""
         return self.loop.time() * MS_PER_S
 
-    def pool(self, name: str, address: str) -> ConnectionPool:
-        """Return the connections to one incarnation of a server."""
-        known = self._pools.get(name)
-        if known is None:
-            known = ConnectionPool(address)
-            self._pools[name] = known
-        return known
+    def send(self, server: Server, call: HttpCall) -> None:
+        """Send a call to a server."""
+        self._pools.get(server.name, server.record.address).send(call)
 
     def sweep(self) -> None:
         """Close the connections to servers that the fleet no longer has."""
-        gone = [name for name in self._pools if self.desk.fleet.get(name) is None]
-        for name in gone:
-            self._pools.pop(name).close()
+        self._pools.keep(lambda name: self.desk.fleet.get(name) is not None)
+
+    def drop_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        self._pools.drop_idle()
 
 
 class Steps(Protocol):
@@ -158,7 +157,7 @@
             partial(platform.is_answer_to, self.request_id),
         )
         self.calls[command.call_id] = call
-        self.pools.pool(server.name, server.record.address).send(call)
+        self.pools.send(server, call)
 
     def _ended(self, call_id: int, result: CallResult) -> None:
         self.calls.pop(call_id, None)
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -19,6 +19,7 @@
 from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
 from cowsliploom.gateway._store_watch import StoreWatch
+from cowsliploom.gateway._suspension import Suspension
 from cowsliploom.platform import (
     MachineSettings,
     PlatformStore,
@@ -151,12 +152,24 @@
             await asyncio.sleep(DRAIN_STEP_MS / MS_PER_S)
 
     async def _sweep(self) -> None:
+        suspension = Suspension(self._now_ms)
         while True:
             await asyncio.sleep(SWEEP_MS / MS_PER_S)
+            missed_ms = suspension.missed_ms()
+            if missed_ms:
+                self._resume(missed_ms)
             self._knowledge.release_held(self._now_ms())
             self._pools.sweep()
             self._callers.is_draining = self._is_draining or self._isolation.is_isolated
 
+    def _resume(self, missed_ms: float) -> None:
+        """Distrust what is older than the own clock says, after a suspension."""
+        self.log.write('daemon', 'resumed', missed_ms=round(missed_ms))
+        self._knowledge.add_age(missed_ms)
+        self._peers.attendance.add_age(missed_ms)
+        self._pools.drop_idle()
+        self._peers.drop_idle()
+
     def _now_ms(self) -> float:
         return self._loop.time() * MS_PER_S
 
@@ -178,7 +191,7 @@
             return
         self._peers.known.seeds = settings.seeds
         self._peers.attendance.apply_ms = settings.apply_ms
-        self._desk.budget_rules = settings.budget
+        self._desk.change_budget(settings.budget)
         self.settings = settings
         self.log.write('daemon', 'reloaded', seeds=list(settings.seeds))
 
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -100,6 +100,11 @@
             confirmed_ms = now_ms - heard.age_ms
             self.confirmed_ms = max(confirmed_ms, self.confirmed_ms or confirmed_ms)
 
+    def add_age(self, missed_ms: float) -> None:
+        """Take time that the own clock has left out."""
+        if self.confirmed_ms is not None:
+            self.confirmed_ms -= missed_ms
+
     def release_held(self, now_ms: float) -> None:
         """Give up servers whose registration has not come back in time."""
         due = [key for key, until_ms in self._held.items() if now_ms >= until_ms]
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -14,7 +14,7 @@
     chosen_watchers,
 )
 from cowsliploom.dataplane import (
-    ConnectionPool,
+    ConnectionPools,
     HttpAnswer,
     HttpListener,
     HttpRequest,
@@ -77,7 +77,7 @@
         self.facts = FactBook()
         self.listener = HttpListener(known.own.address, self._take)
         self._random = random.Random(known.own.name)
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools = ConnectionPools()
         self._live: frozenset[str] = frozenset()
         self._others: tuple[Member, ...] = ()
         self._is_leaving = False
@@ -141,6 +141,10 @@
             if member.name in names:
                 self._background.start(self._send(member.address, message))
 
+    def drop_idle(self) -> None:
+        """Close the connections to peers on which nothing is under way."""
+        self._pools.drop_idle()
+
     def others(self) -> tuple[Member, ...]:
         """Return the other live members, by name."""
         return self._others
@@ -177,6 +181,9 @@
                 gone=sorted(self._live - live),
             )
             self._live = live
+            wanted = {member.address for member in self.known.remembered()}
+            wanted.update(self.known.seeds)
+            self._pools.keep(wanted.__contains__)
 
     async def _tell_member(
         self, address: str, news: msgspec.Raw, tell_on: Sequence[str]
@@ -195,7 +202,9 @@
             f'POST {PATH} HTTP/1.1\r\nHost: {address}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
-        reply = await self._pool(address).ask(head.encode() + body, TIMEOUT_MS)
+        reply = await self._pools.get(address, address).ask(
+            head.encode() + body, TIMEOUT_MS
+        )
         message = decode_message(reply.body) if isinstance(reply, HttpAnswer) else None
         if message is None:
             return False
@@ -204,13 +213,6 @@
             self._background.start(self._exchange(address, names_all=True))
         return True
 
-    def _pool(self, address: str) -> ConnectionPool:
-        known = self._pools.get(address)
-        if known is None:
-            known = ConnectionPool(address)
-            self._pools[address] = known
-        return known
-
     def _take(self, request: HttpRequest) -> None:
         message = decode_message(request.body)
         if message is None:
--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -119,10 +119,13 @@
     ----------
     address : str
         Where the relay listens.
+    log : LineLog
+        Log of what can't be read.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, log: LineLog) -> None:
         self.address = address
+        self.log = log
         self._ids = itertools.count(1)
         self._shares: dict[int, AskedShare] = {}
         self._connection: FrameConnection | None = None
@@ -184,6 +187,7 @@
     def _take(self, connection: FrameConnection, content: bytes) -> None:
         frame = decode_frame(content)
         if not isinstance(frame, Asked | Told):
+            self.log.write('relay', 'unreadable', bytes=len(content))
             connection.abort()
             return
         share = self._shares.get(frame.share_id)
@@ -276,7 +280,7 @@
         host = command.relay.record.address.rpartition(':')[0]
         link = self._links.get(host)
         if link is None:
-            link = _Link(f'{host}:{self._port}')
+            link = _Link(f'{host}:{self._port}', self.log)
             self._links[host] = link
         link.ask(command, runner)
 
--- a/cowsliploom/gateway/tests/test_knowledge.py
+++ b/cowsliploom/gateway/tests/test_knowledge.py
@@ -91,6 +91,15 @@
     assert knowledge.confirmed_age_ms(1000) == 400
 
 
+def test_time_that_the_clock_left_out_makes_what_is_known_older():
+    knowledge = make_knowledge()
+    knowledge.add_age(5000)
+    assert knowledge.confirmed_age_ms(0) > 1_000_000
+    knowledge.take(Batch(5, (configuration(1, 5),)), STORE, 1000)
+    knowledge.add_age(5000)
+    assert knowledge.confirmed_age_ms(1000) == 5000
+
+
 def test_versions_only_go_up():
     knowledge = make_knowledge()
     knowledge.take(Batch(5, (configuration(7, 5),)), STORE, 0)
--- a/cowsliploom/gateway/tests/test_news.py
+++ b/cowsliploom/gateway/tests/test_news.py
@@ -129,3 +129,14 @@
         assert peers.watches_store() is watches
 
     asyncio.run(play())
+
+
+def test_a_machine_that_was_suspended_watches_at_once():
+    """Its steady clock had left out the time in which a version was written."""
+
+    async def play():
+        peers = make_peers('own', 'watcher', Clock())
+        peers.attendance.add_age(5000)
+        assert peers.watches_store()
+
+    asyncio.run(play())
--- a/cowsliploom/members/_attendance.py
+++ b/cowsliploom/members/_attendance.py
@@ -37,6 +37,10 @@
         """Take how long ago somebody was known to watch."""
         self._heard_ms = max(self._heard_ms, now_ms - age_ms)
 
+    def add_age(self, missed_ms: float) -> None:
+        """Take time that the own clock has left out."""
+        self._heard_ms -= missed_ms
+
     def age_ms(self, now_ms: float) -> float:
         """Return how long ago somebody was known to watch."""
         return now_ms - self._heard_ms
