Reset the connection of a call that is dropped

A dropped call closed its connection, and a closed connection goes on sending what it still holds; only a reset loses it. Ruled out: calls sent after the answer (the exchange was over), relays (sent directly). Change: dropping a call sets the socket to lose its bytes before it is closed, so a server behind a cut never sees the request, and others hear at once that nobody waits. Test: the server of a dropped call reads a reset; before, the end of the connection. Frames between entry VMs still close in order, as a relay that stops has reports under way.

--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -8,7 +8,12 @@
 
 import httptools
 
-from cowsliploom.dataplane._sockets import HeaderList, end_when_silent, split_address
+from cowsliploom.dataplane._sockets import (
+    HeaderList,
+    end_when_silent,
+    reset,
+    split_address,
+)
 from cowsliploom.forwarding import CallStep
 
 MS_PER_S = 1000
@@ -215,7 +220,7 @@
         self._call = None
         self.pool.forget(self)
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def close(self) -> None:
         """Close in order."""
--- a/cowsliploom/dataplane/_sockets.py
+++ b/cowsliploom/dataplane/_sockets.py
@@ -1,5 +1,6 @@
 """What listeners and kept connections share: addresses, headers, socket options."""
 
+import asyncio
 import socket
 import struct
 
@@ -9,6 +10,7 @@
 PROBE_IDLE_S = 2
 PROBE_GAP_S = 1
 PROBES_MAX = 2
+LINGER_NONE = struct.pack('ii', 1, 0)
 MS_PER_S = 1000
 US_PER_MS = 1000
 TCP_INFO_BYTES = 104
@@ -33,6 +35,18 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that bytes which are still under way are lost.
+
+    A connection that is only closed goes on sending them, and a server behind a cut
+    would run a request long after its caller has been answered.
+    """
+    raw = transport.get_extra_info('socket')
+    if raw is not None and not transport.is_closing():
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    transport.abort()
+
+
 def round_trip_ms(raw: socket.socket) -> float:
     """Return the round trip as the kernel knows it; 0 where it doesn't tell."""
     try:
--- a/cowsliploom/dataplane/tests/test_dataplane.py
+++ b/cowsliploom/dataplane/tests/test_dataplane.py
@@ -339,3 +339,35 @@
 def answer_ok(request):
     """Answer a request."""
     request.answer(200, [], b'')
+
+
+def test_a_call_that_is_dropped_resets_its_connection():
+    """Requests reached servers 5 s after their callers had been answered.
+
+    A cut had held up their bytes, and a closed connection went on sending them.
+    """
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        seen = loop.create_future()
+
+        async def serve(reader, writer):
+            try:
+                while await reader.read(100):
+                    arrived.set()
+                seen.set_result('closed')
+            except ConnectionResetError:
+                seen.set_result('reset')
+            writer.close()
+
+        arrived = asyncio.Event()
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        call = HttpCall(b'GET / HTTP/1.1\r\n\r\n', [].append)
+        ConnectionPool(f'{host}:{port}').send(call)
+        await arrived.wait()
+        call.drop()
+        assert await asyncio.wait_for(seen, 2) == 'reset'
+        server.close()
+
+    asyncio.run(play())
