Say in the log what the latest failed call of a shard came to

Cause: ten failed requests were looked up with cowsliploomctl explain; for those that ended with 502 the line said 'attempts used up' and not why the attempt failed, and 'rests' didn't say what had been seen. Change: `missing` names the latest failed call with server, time and reason; `rests` has the reason.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -54,3 +54,4 @@
 from cowsliploom.forwarding._servers import ServerBelief as ServerBelief
 from cowsliploom.forwarding._servers import ServerRecord as ServerRecord
 from cowsliploom.forwarding._servers import ServerState as ServerState
+from cowsliploom.forwarding._work import Work as Work
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -178,7 +178,9 @@
             self._take_part(work, attempt, event)
             return
         if answer.ran:
-            server.failed(event.now_ms)
+            reason = f'status {answer.status}'
+            server.failed(event.now_ms, reason)
+            work.note_failure(attempt, event.now_ms, reason)
             self._desk.calls.add(attempt, self.route.name, event.now_ms, ok=False)
             work.failure = work.failure or answer
         else:
@@ -199,10 +201,12 @@
         if work is None or attempt is None:
             return
         now_ms = event.now_ms
+        reason = f'{event.step.value}: {event.reason}'
+        work.note_failure(attempt, now_ms, reason)
         if event.step is CallStep.CONNECT:
-            attempt.server.unreachable(now_ms)
+            attempt.server.unreachable(now_ms, reason)
         else:
-            attempt.server.failed(now_ms)
+            attempt.server.failed(now_ms, reason)
             self._desk.calls.add(attempt, self.route.name, now_ms, ok=False)
         if not event.may_have_run:
             work.did_not_run(attempt, rejected=False)
@@ -346,7 +350,7 @@
             for attempt in work.open.values():
                 self._desk.calls.add(attempt, self.route.name, now_ms, ok=True)
                 if attempt.server.is_silent(now_ms):
-                    attempt.server.unreachable(now_ms)
+                    attempt.server.unreachable(now_ms, 'silent')
         yield from self._drop_all()
 
 
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -84,6 +84,8 @@
         Mean time of its answers.
     for_ms : float
         How long the belief holds without news; 0 for as long as there is none.
+    reason : str
+        What the latest failure was; empty after a success.
     """
 
     server: str
@@ -92,6 +94,7 @@
     failures: int = 0
     mean_ms: float = 0
     for_ms: float = 0
+    reason: str = ''
 
 
 def keep_silent(belief: ServerBelief) -> None:
@@ -126,6 +129,7 @@
         self.load_ms = -LOAD_FRESH_MS
         self.rests_until_ms: float = 0
         self.failures = 0
+        self.failure = ''
         self.error_share: float = 0
         self.shed_share: float = 0
         self.is_leaving = False
@@ -186,6 +190,7 @@
 
     def succeeded(self, elapsed_ms: float) -> None:
         """Learn from a good answer."""
+        self.failure = ''
         if self.rests_until_ms:
             self.rests_until_ms = 0
             self._tell(self._belief('answers again', 0))
@@ -203,13 +208,15 @@
         free_ms = self.mean_ms / max(1, self.record.slots)
         self.full_until_ms = now_ms + max(FULL_MIN_MS, free_ms)
 
-    def failed(self, now_ms: float) -> None:
+    def failed(self, now_ms: float, reason: str = '') -> None:
         """Learn from a failure, and rest the longer the more there were."""
+        self.failure = reason
         if self._is_news(now_ms) and self.failures > 1:
             self.rest(now_ms)
 
-    def unreachable(self, now_ms: float) -> None:
+    def unreachable(self, now_ms: float, reason: str = '') -> None:
         """Learn from a refused or silent connection; rest at once."""
+        self.failure = reason
         if self._is_news(now_ms):
             self.rest(now_ms)
 
@@ -275,6 +282,7 @@
             self.failures,
             round(self.mean_ms, 1),
             for_ms,
+            self.failure,
         )
 
     def _freshness(self, now_ms: float) -> float:
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -6,6 +6,7 @@
 from cowsliploom.forwarding._messages import BackendAnswer
 from cowsliploom.forwarding._servers import Server
 
+REASON_MAX = 80  # characters of a failure's reason that are logged
 REJECTED_MAX = 4  # sends that servers refuse, before the work gives up
 
 
@@ -76,6 +77,7 @@
         self.part: BackendAnswer | None = None
         self.failure: BackendAnswer | None = None
         self.ended_by = ''
+        self.failed_by = ''
 
     @property
     def may_have_run(self) -> bool:
@@ -91,6 +93,12 @@
         self.runs += 1
         self.waits_until_ms = None
 
+    def note_failure(self, attempt: Attempt, now_ms: float, reason: str) -> None:
+        """Remember what the latest call that failed came to."""
+        elapsed_ms = now_ms - attempt.sent_ms
+        name = attempt.server.name
+        self.failed_by = f'{name} after {elapsed_ms:.0f} ms: {reason[:REASON_MAX]}'
+
     def did_not_run(self, attempt: Attempt, rejected: bool) -> None:
         """Take back a call that has certainly not run."""
         self.runs -= 1
--- a/cowsliploom/gateway/_knowledge.py
+++ b/cowsliploom/gateway/_knowledge.py
@@ -205,6 +205,7 @@
             failures=belief.failures,
             mean_ms=belief.mean_ms,
             for_ms=belief.for_ms,
+            reason=belief.reason,
         )
 
     def _update_fleet(self, heard: Heard, now_ms: float) -> None:
--- a/cowsliploom/gateway/_request_log.py
+++ b/cowsliploom/gateway/_request_log.py
@@ -8,6 +8,7 @@
     PassOn,
     Reply,
     TurnAway,
+    Work,
 )
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._line_log import LineLog
@@ -83,9 +84,10 @@
 
 def _missing(exchange: Exchange) -> list[str]:
     """Return which services are missing, whom they were sent to, and why."""
-    return [
-        f'{work.service} tried={"+".join(sorted(work.tried)) or "nobody"}'
-        f' {work.ended_by or "open"}'
-        for work in exchange.works
-        if work.part is None
-    ]
+    return [_missed(work) for work in exchange.works if work.part is None]
+
+
+def _missed(work: Work) -> str:
+    tried = '+'.join(sorted(work.tried)) or 'nobody'
+    text = f'{work.service} tried={tried} {work.ended_by or "open"}'
+    return f'{text} ({work.failed_by})' if work.failed_by else text
