Log when a process is behind its work

Cause: of ten failed requests one was late because its process was 0.9 s behind, which no line told. Change: a line and a figure for how late the process comes to what is due. Test: a frozen process says so (no such line before).

--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -29,6 +29,7 @@
 
 MS_PER_S = 1000
 SWEEP_MS = 250.0
+BEHIND_MS = 100.0  # as long as the most urgent requests may take in all
 CLOSE_IDLE_AFTER_MS = 2600.0  # the balancer has noticed by then
 STOP_SHARE = 0.8  # of the grace; the rest is for the end itself
 DRAIN_STEP_MS = 50.0
@@ -154,7 +155,9 @@
     async def _sweep(self) -> None:
         suspension = Suspension(self._now_ms)
         while True:
+            due_ms = self._now_ms() + SWEEP_MS
             await asyncio.sleep(SWEEP_MS / MS_PER_S)
+            self._note_lateness(self._now_ms() - due_ms)
             missed_ms = suspension.missed_ms()
             if missed_ms:
                 self._resume(missed_ms)
@@ -162,6 +165,12 @@
             self._pools.sweep()
             self._callers.is_draining = self._is_draining or self._isolation.is_isolated
 
+    def _note_lateness(self, late_ms: float) -> None:
+        """Tell how far the loop is behind, which no line of a request shows."""
+        self.figures.set_gauge('loop_late_ms', round(late_ms, 1))
+        if late_ms > BEHIND_MS:
+            self.log.write('daemon', 'behind', late_ms=round(late_ms))
+
     def _resume(self, missed_ms: float) -> None:
         """Distrust what is older than the own clock says, after a suspension."""
         self.log.write('daemon', 'resumed', missed_ms=round(missed_ms))
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -204,3 +204,22 @@
             assert max(calls_of(world, f'l-{number}')) <= 2
 
     play(tmp_path, script)
+
+
+def test_a_process_that_was_frozen_says_that_it_is_behind(tmp_path):
+    """A request was late by 0.9 s, and no line told why."""
+
+    async def script(world):
+        process = await world.gateway(2)
+        await world.ready(2)
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.8)
+        process.send_signal(signal.SIGCONT)
+        end = time.monotonic() + 3
+        while '"event":"behind"' not in world.logs() and time.monotonic() < end:
+            await asyncio.sleep(0.1)
+        assert '"event":"behind"' in world.logs()
+        figures = await ask(f'{PLACE}.2:9464', '/metrics')
+        assert b'cowsliploom_loop_late_ms' in figures.body
+
+    play(tmp_path, script)
