Begin a failed task again and tell it; check orders and vetoes more closely

Cause, found by reading: an exception in one of the gateway's tasks ended it without a line, so a daemon would have gone on without its store or its peers; a veto's key was taken apart by slashes, which a service's name may hold; an order could name another service than its key. Change: tasks begin again after a logged error; vetoes are decoded; such an order is unreadable. Tests for each.

--- a/cowsliploom/gateway/_background.py
+++ b/cowsliploom/gateway/_background.py
@@ -1,7 +1,12 @@
 """Tasks that run beside the one that starts them."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+
+from cowsliploom.gateway._line_log import LineLog
+
+RESTART_MS = 500.0  # a task that fails at once again doesn't fill the log
+MS_PER_S = 1000
 
 
 class Background:
@@ -15,3 +20,25 @@
         task = asyncio.get_running_loop().create_task(work)
         self._running.add(task)
         task.add_done_callback(self._running.discard)
+
+
+async def keep_running(
+    work: Callable[[], Coroutine[None, None, None]], log: LineLog
+) -> None:
+    """Run work that has no end; after an error tell it and begin again.
+
+    Parameters
+    ----------
+    work : callable
+        Makes the work anew; what it has learnt stands outside of it.
+    log : LineLog
+        Log of errors.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            log.write(
+                'daemon', 'task failed', task=work.__qualname__, reason=repr(error)
+            )
+        await asyncio.sleep(RESTART_MS / MS_PER_S)
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -8,6 +8,7 @@
 from cowsliploom.members import Acquaintances, Member
 from cowsliploom.dataplane import FrameListener, HttpListener, HttpRequest
 from cowsliploom.forwarding import CallerLimits, ForwardingDesk
+from cowsliploom.gateway._background import keep_running
 from cowsliploom.gateway._calls import ServerPools
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._forwarder import Forwarder
@@ -119,15 +120,17 @@
         ]
         for listener in listeners:
             await listener.start()
-        tasks = (
-            self._watch.run(),
-            self._peers.run(),
-            self._sweep(),
-            self._isolation.run(),
-            MovesTask(self._knowledge, self._peers, self._store, self.log).run(),
+        moves = MovesTask(self._knowledge, self._peers, self._store, self.log)
+        works = (
+            self._watch.run,
+            self._peers.run,
+            self._sweep,
+            self._isolation.run,
+            moves.run,
         )
-        for work in tasks:
-            self._tasks.append(self._loop.create_task(work))
+        for work in works:
+            task = self._loop.create_task(keep_running(work, self.log))
+            self._tasks.append(task)
         self.log.write(
             'daemon',
             'started',
--- a/cowsliploom/gateway/_facts.py
+++ b/cowsliploom/gateway/_facts.py
@@ -44,6 +44,6 @@
                 self.on_fact(fact)
         return has_news
 
-    def forget_unless(self, is_wanted: Callable[[str], bool]) -> None:
-        """Forget facts whose keys aren't wanted any more."""
-        self._kept = {key: fact for key, fact in self._kept.items() if is_wanted(key)}
+    def forget_unless(self, is_wanted: Callable[[Fact], bool]) -> None:
+        """Forget the facts that aren't wanted any more."""
+        self._kept = {key: fact for key, fact in self._kept.items() if is_wanted(fact)}
--- a/cowsliploom/gateway/_version_moves.py
+++ b/cowsliploom/gateway/_version_moves.py
@@ -37,6 +37,7 @@
     StateRead,
     StateSwapped,
     SwapState,
+    Veto,
 )
 
 MS_PER_S = 1000
@@ -175,11 +176,15 @@
                 versions = [server.record.version for server in fleet.serving(service)]
                 yield ordered.as_move(versions.count(ordered.order.to_version))
 
-    def _is_open_veto(self, key: str) -> bool:
-        """Tell whether a veto's key is on an order that still stands."""
-        _, service, _, generation = key.split('/')
-        ordered = self._ordered.get(service)
-        return ordered is not None and int(generation) >= ordered.order.revision
+    def _is_open_veto(self, fact: Fact) -> bool:
+        """Tell whether a veto is on an order that still stands."""
+        try:
+            veto = msgspec.json.decode(fact.blob, type=Veto)
+        except msgspec.MsgspecError as error:
+            self._log.write('move', 'unreadable', service=fact.key, reason=str(error))
+            return False
+        ordered = self._ordered.get(veto.service)
+        return ordered is not None and veto.generation >= ordered.order.revision
 
     def _sample(self, call: SeenCall) -> None:
         ordered = self._ordered.get(call.server.record.service)
--- a/cowsliploom/gateway/tests/test_knowledge.py
+++ b/cowsliploom/gateway/tests/test_knowledge.py
@@ -9,9 +9,12 @@
 
 from cowsliploom.forwarding import BudgetRules, ForwardingDesk
 from cowsliploom.forwarding._fleet import CallLimits
+from cowsliploom.gateway._background import keep_running
+from cowsliploom.gateway._facts import FactBook
 from cowsliploom.gateway._knowledge import Heard, Knowledge
 from cowsliploom.gateway._line_log import BUFFER_BYTES_MAX, LineLog
 from cowsliploom.gateway._peer_wire import (
+    Fact,
     PeerMessage,
     WireSighting,
     decode_message,
@@ -166,6 +169,7 @@
         b'{"service":"s","targetVersion":"","durationS":12}',
         b'{"service":"s","targetVersion":"v2","durationS":-1}',
         b'{"service":"s","targetVersion":2,"durationS":12}',
+        b'{"service":"t","targetVersion":"v2","durationS":12}',
     ],
 )
 def test_an_order_that_cannot_be_read_changes_nothing(text):
@@ -255,6 +259,37 @@
     assert decode_message(text) is None
 
 
+def test_a_task_that_fails_says_so_and_begins_again():
+    async def play():
+        log, runs = Notes(), []
+
+        async def fail():
+            runs.append(len(runs))
+            raise ValueError('wrong')
+
+        running = asyncio.create_task(keep_running(fail, log))
+        while len(runs) < 2:
+            await asyncio.sleep(0.05)
+        running.cancel()
+        return log.lines[0]
+
+    part, event, fields = asyncio.run(asyncio.wait_for(play(), 5))
+    assert (part, event) == ('daemon', 'task failed')
+    assert fields['reason'] == "ValueError('wrong')"
+
+
+def test_facts_are_told_on_once_and_only_vetoes_stay():
+    book, heard = FactBook(), []
+    book.on_fact = heard.append
+    veto, evidence = Fact('veto/s/v2/6', 1, b'{}'), Fact('evidence/s/a', 3, b'')
+    assert book.take((veto, evidence))
+    assert not book.take((veto, evidence))
+    assert heard == [veto, evidence, evidence]
+    assert book.kept() == (veto,)
+    book.forget_unless(lambda fact: False)
+    assert not book.kept()
+
+
 def test_lines_that_nobody_reads_are_counted_and_never_block():
     reading, writing = os.pipe()
 
--- a/cowsliploom/platform/_documents.py
+++ b/cowsliploom/platform/_documents.py
@@ -185,8 +185,9 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DocumentError(key, str(error)) from error
     is_given = math.isfinite(wire.duration_s) and wire.duration_s >= 0
-    if not (is_given and wire.service and wire.target_version):
-        raise DocumentError(key, 'no service, version or time')
+    is_named = wire.service == key.removeprefix(MOVE_PREFIX)
+    if not (is_given and is_named and wire.service and wire.target_version):
+        raise DocumentError(key, 'no version or time, or another service')
     return MoveOrder(
         wire.service, wire.target_version, wire.duration_s * MS_PER_S, revision
     )
