Give the shared query of the tests a target that a busy machine can keep

Change: the route's target is 1,000 ms, so all parts are waited for, as the test wants; what it checks is the same. Beside 24 busy processes 0 of 3 runs fail.

--- a/tests/processes/gateway_world.py
+++ b/tests/processes/gateway_world.py
@@ -48,6 +48,7 @@
         'prefix': '/many/',
         'fanoutServices': MANY,
         'minShardShare': 0.9,
+        'targetLatencyMs': 1000,  # so that a busy machine doesn't leave parts out
     }
     names = (*SHARDS, 'one', *MANY)
     services = [{'name': name, 'maxConnections': 55} for name in names]
