Stay in touch with other members while the watcher is silent

Cause, found by reading: a member that doubted its watcher asked nobody else until the watcher counted as gone (up to 3 s), so members of its data centre didn't hear of each other meanwhile. Change: half of the exchanges go to the watcher, the rest to anybody. Test: among 40 exchanges others are asked too (none before).

--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -41,6 +41,7 @@
 STALE_MS = 6500.0  # the store's word is older than a watch takes: ask peers eagerly
 UNKNOWN_SHARERS = 12  # while nobody was heard: careful, as there may be many
 REACH_ASKED = 3
+ASK_WATCHER_SHARE = 0.5  # of exchanges while it may be gone; others stay in touch
 PATH = '/peers'
 
 
@@ -156,7 +157,8 @@
     def partner(self) -> str | None:
         """Return whom to ask next: the watcher if it may be gone, or anybody."""
         now_ms = self.now_ms()
-        if self.attendance.is_in_doubt(now_ms):
+        in_doubt = self.attendance.is_in_doubt(now_ms)
+        if in_doubt and self._random.random() < ASK_WATCHER_SHARE:
             for member in _watchers(self.known.live(now_ms)):
                 if member is not self.known.own:
                     return member.address
--- a/cowsliploom/gateway/tests/test_news.py
+++ b/cowsliploom/gateway/tests/test_news.py
@@ -131,6 +131,25 @@
     asyncio.run(play())
 
 
+def test_members_stay_in_touch_while_their_watcher_is_silent():
+    """All exchanges went to the watcher until it counted as gone."""
+
+    async def play():
+        clock = Clock()
+        names = ('a', 'b', 'c')
+        fleet = tuple(Member(name, f'{name}:1', 'de') for name in names)
+        (watcher,) = chosen_watchers(fleet, 'de', 1)
+        own, other = sorted(set(names) - {watcher})
+        peers = make_peers(own, watcher, clock)
+        peers.known.hear((Sighting(Member(other, f'{other}:1', 'de'), 0),), 0)
+        clock.now_ms = 1000
+        asked = [peers.partner() for _ in range(40)]
+        assert 15 <= asked.count(f'{watcher}:1') < 40
+        assert asked.count(f'{other}:1') > 4
+
+    asyncio.run(play())
+
+
 def test_a_machine_that_was_suspended_watches_at_once():
     """Its steady clock had left out the time in which a version was written."""
 
