Tell what each service's budget of extra calls was, and whom it denied one

Cause: a request's line named its hedges and retries, but nothing told how many extra calls a service had in its window, what was allowed, or that one was denied.

Change: one line a second for the six services that were denied most, with requests, spent, allowed and the number of sharers; two counters; a request's line names the figures of the budget that denied it a call. No decision changes.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding of requests by routes to the backend servers of services; sans-IO."""
 
+from cowsliploom.forwarding._budget import BudgetReport as BudgetReport
 from cowsliploom.forwarding._budget import ExtraBudget as ExtraBudget
 from cowsliploom.forwarding._call_memory import CallMemory as CallMemory
 from cowsliploom.forwarding._call_memory import SeenCall as SeenCall
--- a/cowsliploom/forwarding/_budget.py
+++ b/cowsliploom/forwarding/_budget.py
@@ -1,6 +1,7 @@
 """A budget of extra calls that all entry VMs share, one for each service."""
 
 from collections import deque
+from dataclasses import dataclass
 
 
 class WindowCount:
@@ -37,6 +38,32 @@
         return self._sum
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetReport:
+    """Tell how a service's extra calls stand, and what was decided lately.
+
+    Parameters
+    ----------
+    service : str
+        Service that is asked.
+    requests : float
+        Requests for it in the window.
+    spent : float
+        Extra calls in the window.
+    allowed : float
+        Extra calls that the window may hold.
+    sent, denied : int
+        Extra calls sent, and works that were denied one, since the last report.
+    """
+
+    service: str
+    requests: float
+    spent: float
+    allowed: float
+    sent: int
+    denied: int
+
+
 class ExtraBudget:
     """Say whether one more call beyond a request's first may be sent.
 
@@ -69,6 +96,8 @@
         self.extra = extra
         self.requests = WindowCount(window_ms)
         self.spent = WindowCount(window_ms * 1.1)  # a slice more, as slices are coarse
+        self.sent = 0
+        self.denied = 0
 
     def change(self, ratio: float, extra: float) -> None:
         """Take other bounds; what was counted stays."""
@@ -82,12 +111,38 @@
     def spend(self, now_ms: float) -> None:
         """Count an extra call."""
         self.spent.add(now_ms)
+        self.sent += 1
+
+    def deny(self, now_ms: float, sharers: int) -> str:
+        """Count a work that was denied an extra call; return the figures."""
+        self.denied += 1
+        spent = self.spent.total(now_ms)
+        return f'extra calls used up: {spent:g} of {self.allowed(now_ms, sharers):.1f}'
+
+    def allowed(self, now_ms: float, sharers: int) -> float:
+        """Return how many extra calls the window may hold."""
+        return self.ratio * self.requests.total(now_ms) + self.extra / sharers
 
     def left(self, now_ms: float, sharers: int) -> float:
         """Return how many extra calls may still be sent now."""
-        allowed = self.ratio * self.requests.total(now_ms) + self.extra / sharers
-        return allowed - self.spent.total(now_ms)
+        return self.allowed(now_ms, sharers) - self.spent.total(now_ms)
 
     def may_spend(self, now_ms: float, sharers: int) -> bool:
         """Tell whether one more extra call may be sent."""
         return self.left(now_ms, sharers) >= 1
+
+    def report(self, service: str, now_ms: float, sharers: int) -> BudgetReport | None:
+        """Return what was decided since the last report; None for nothing."""
+        if not (self.sent or self.denied):
+            return None
+        report = BudgetReport(
+            service,
+            self.requests.total(now_ms),
+            self.spent.total(now_ms),
+            round(self.allowed(now_ms, sharers), 1),
+            self.sent,
+            self.denied,
+        )
+        self.sent = 0
+        self.denied = 0
+        return report
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cowsliploom.forwarding._budget import ExtraBudget
+from cowsliploom.forwarding._budget import BudgetReport, ExtraBudget
 from cowsliploom.forwarding._call_memory import CallMemory
 from cowsliploom.forwarding._exchange import Exchange
 from cowsliploom.forwarding._fleet import Fleet, calls_max
@@ -121,6 +121,15 @@
         for budget in self._budgets.values():
             budget.change(rules.ratio, rules.extra)
 
+    def budget_reports(self, now_ms: float) -> list[BudgetReport]:
+        """Return what was decided on extra calls since the last reports."""
+        sharers = self.fleet.sharers
+        reports = (
+            budget.report(service, now_ms, sharers)
+            for service, budget in self._budgets.items()
+        )
+        return [report for report in reports if report is not None]
+
     def take_table(self, table: RouteTable) -> bool:
         """Take a table of a higher version; tell whether it was."""
         if table.version <= self.table.version:
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -289,6 +289,7 @@
             return 'attempts used up'
         sharers = self._desk.fleet.sharers
         if work.sends and not work.budget.may_spend(now_ms, sharers):
+            work.deny(now_ms, sharers)
             return 'budget of extra calls used up'
         return ''
 
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -78,6 +78,7 @@
         self.failure: BackendAnswer | None = None
         self.ended_by = ''
         self.failed_by = ''
+        self.denied_by = ''
 
     @property
     def may_have_run(self) -> bool:
@@ -107,6 +108,11 @@
         if not rejected:
             self.sends -= 1
 
+    def deny(self, now_ms: float, sharers: int) -> None:
+        """Note that the budget denies an extra call, once for the request."""
+        if not self.denied_by:
+            self.denied_by = self.budget.deny(now_ms, sharers)
+
     def may_send_again(self, attempts_max: int) -> bool:
         """Tell whether the bounds on attempts allow one more call."""
         return self.runs < attempts_max and self.rejections < REJECTED_MAX
--- /dev/null
+++ b/cowsliploom/gateway/_budget_log.py
@@ -0,0 +1,69 @@
+"""Lines and counters on extra calls: what each service's budget was and decided."""
+
+from collections.abc import Callable
+
+from cowsliploom.forwarding import BudgetReport, ForwardingDesk
+from cowsliploom.gateway._figures import Figures
+from cowsliploom.gateway._line_log import LineLog
+
+REPORT_MS = 1000.0
+LINES_MAX = 6  # services a second; a fault of many shards looks alike at all
+
+
+class BudgetLog:
+    """Tell once a second which budgets were used, those that denied most first.
+
+    Parameters
+    ----------
+    desk : ForwardingDesk
+        Owner of the budgets.
+    log : LineLog
+        Log of lines.
+    figures : Figures
+        Counters, over all services.
+    now_ms : callable
+        Steady clock.
+    """
+
+    def __init__(
+        self,
+        desk: ForwardingDesk,
+        log: LineLog,
+        figures: Figures,
+        now_ms: Callable[[], float],
+    ) -> None:
+        self._desk = desk
+        self._log = log
+        self._figures = figures
+        self._now_ms = now_ms
+        self._told_ms = now_ms()
+
+    def tell(self) -> None:
+        """Write what was decided since the last second, if that is over."""
+        now_ms = self._now_ms()
+        if now_ms - self._told_ms < REPORT_MS:
+            return
+        self._told_ms = now_ms
+        reports = sorted(self._desk.budget_reports(now_ms), key=_urgency)
+        self._figures.count('extra_calls', sum(one.sent for one in reports))
+        self._figures.count('extra_calls_denied', sum(one.denied for one in reports))
+        for report in reports[:LINES_MAX]:
+            self._write(report, len(reports))
+
+    def _write(self, report: BudgetReport, services: int) -> None:
+        self._log.write(
+            'budget',
+            'used',
+            service=report.service,
+            requests=report.requests,
+            spent=report.spent,
+            allowed=report.allowed,
+            sent=report.sent,
+            denied=report.denied,
+            sharers=self._desk.fleet.sharers,
+            services=services,
+        )
+
+
+def _urgency(report: BudgetReport) -> tuple[int, float, str]:
+    return -report.denied, -report.spent, report.service
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -9,6 +9,7 @@
 from cowsliploom.dataplane import FrameListener, HttpListener, HttpRequest
 from cowsliploom.forwarding import CallerLimits, ForwardingDesk
 from cowsliploom.gateway._background import keep_running
+from cowsliploom.gateway._budget_log import BudgetLog
 from cowsliploom.gateway._calls import ServerPools
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._forwarder import Forwarder
@@ -161,6 +162,7 @@
 
     async def _sweep(self) -> None:
         suspension = Suspension(self._now_ms)
+        budget_log = BudgetLog(self._desk, self.log, self.figures, self._now_ms)
         while True:
             due_ms = self._now_ms() + SWEEP_MS
             await asyncio.sleep(SWEEP_MS / MS_PER_S)
@@ -170,6 +172,7 @@
                 self._resume(missed_ms)
             self._knowledge.release_held(self._now_ms())
             self._pools.sweep()
+            budget_log.tell()
             self._callers.is_draining = self._is_draining or self._isolation.is_isolated
 
     def _note_lateness(self, late_ms: float) -> None:
--- a/cowsliploom/gateway/_request_log.py
+++ b/cowsliploom/gateway/_request_log.py
@@ -117,4 +117,6 @@
 def _missed(work: Work) -> str:
     tried = '+'.join(sorted(work.tried)) or 'nobody'
     text = f'{work.service} tried={tried} {work.ended_by or "open"}'
+    if work.denied_by:
+        text = f'{text}, {work.denied_by}'
     return f'{text} ({work.failed_by})' if work.failed_by else text
