Ask no relay for a share while it has said nothing for the time of a hedge

What callers saw: nothing yet.

Cause: a relay counted as silent only after the longest pause of a server. It says at once whom it has asked, so it is silent much sooner.

Change: a relay with an open call that is older than the route's hedge delay, and that has said nothing since, gets no share of a new query.

--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -11,6 +11,7 @@
 from cowsliploom.forwarding._fleet import Fleet, calls_max
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import CallerRequest, Outcome, TurnAway
+from cowsliploom.forwarding._pace import hedge_delay_ms
 from cowsliploom.forwarding._relay_plan import (
     RelayShare,
     plan_far_relays,
@@ -225,12 +226,17 @@
         if plan is None or plan.basis != basis:
             plan = _Plan(basis, self._plan(route.gather.shards, members))
             self._plans[route.name] = plan
+        silence_ms = hedge_delay_ms(route, self.latency(route))
         return tuple(
-            share
-            for share in plan.shares
-            if not self.relay(share, now_ms).is_resting(now_ms)
+            share for share in plan.shares if self._answers(share, now_ms, silence_ms)
         )
 
+    def _answers(self, share: RelayShare, now_ms: float, silence_ms: float) -> bool:
+        """Tell whether a relay says what it does; lost shares cost extra calls."""
+        relay = self.relay(share, now_ms)
+        is_unheard = relay.is_unheard(now_ms, silence_ms)
+        return not (is_unheard or relay.is_resting(now_ms))
+
     def _plan(
         self, shards: tuple[str, ...], members: tuple[Member, ...]
     ) -> tuple[RelayShare, ...]:
--- a/cowsliploom/forwarding/_pace.py
+++ b/cowsliploom/forwarding/_pace.py
@@ -14,6 +14,12 @@
 STEP_MIN_MS = 0.5
 
 
+def hedge_delay_ms(route: Route, latency: RecentLatency) -> float:
+    """Return how long a call on a route may be open before it is hedged."""
+    slow_ms = latency.quantile(HEDGE_QUANTILE) * HEDGE_RATIO
+    return max(HEDGE_MIN_MS, min(slow_ms, route.target_ms * HEDGE_TARGET_SHARE))
+
+
 class Pace:
     """Tell when the works of one request are due.
 
@@ -38,9 +44,7 @@
 
     def hedge_delay_ms(self) -> float:
         """Return how long a call may be open before it is hedged."""
-        slow_ms = self.latency.quantile(HEDGE_QUANTILE) * HEDGE_RATIO
-        latest_ms = self.route.target_ms * HEDGE_TARGET_SHARE
-        return max(HEDGE_MIN_MS, min(slow_ms, latest_ms))
+        return hedge_delay_ms(self.route, self.latency)
 
     def is_due(self, work: Work, now_ms: float) -> bool:
         """Tell whether a work waits for room no longer, or is to be hedged."""
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -174,11 +174,15 @@
 
     def is_silent(self, now_ms: float) -> bool:
         """Tell whether nothing came for far longer than an answer takes."""
+        patience_ms = max(SILENCE_MIN_MS, SILENCE_RATIO * self.mean_ms)
+        return self.is_unheard(now_ms, patience_ms)
+
+    def is_unheard(self, now_ms: float, for_ms: float) -> bool:
+        """Tell whether nothing came since the oldest open call, sent so long ago."""
         if not self.open_calls:
             return False
         sent_ms = next(iter(self.open_calls.values()))
-        patience_ms = max(SILENCE_MIN_MS, SILENCE_RATIO * self.mean_ms)
-        return self.heard_ms < sent_ms and now_ms - sent_ms > patience_ms
+        return self.heard_ms < sent_ms and now_ms - sent_ms > for_ms
 
     def sent(self, call_id: int, now_ms: float) -> None:
         """Count a call."""
--- a/cowsliploom/forwarding/tests/test_relay.py
+++ b/cowsliploom/forwarding/tests/test_relay.py
@@ -298,3 +298,17 @@
     )
     share.start(0)
     assert desk._budgets['k00'].left(0, sharers=1) == spare
+
+
+@pytest.mark.parametrize('has_spoken', [True, False])
+def test_a_relay_that_says_nothing_is_not_asked_again(has_spoken):
+    """Each query that it was asked for took an extra call of each shard."""
+    desk = make_wide_desk()
+    play = Play.start(desk, '/many/x')
+    first = asked(play)[0]
+    for command in asked(play)[has_spoken is False :]:
+        servers = tuple((call.call_id, 'k') for call in command.calls)
+        play.step(RelayAsked(2, servers))
+    again = Play.start(desk, '/many/x', now_ms=150)
+    relays = {one.relay.name for one in asked(again)}
+    assert (first.relay.name in relays) == has_spoken
