Divide the constant of extra calls among all who may be using it

Cause: each VM took 1/live of the constant part. When others were killed, frozen or cut off the divisor fell at once while what they had spent still counted, and both sides of a cut took it whole; a new process forgot what its predecessor had spent. A bound on the fleet was derived from a momentary belief of who is alive.

Change: FleetShare. 0.4 of the constant is divided among all members heard of in ten minutes, silent ones too; 0.1 while the process is younger than the window. Nothing that others do raises a share. The rest is for groups that have never heard of each other and for restarts. The ratio is paid by own requests, as before; windows have finer slices (100), calls count 1.05 windows, not 1.1.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -2,9 +2,10 @@
 
 from cowsliploom.forwarding._budget import BudgetReport as BudgetReport
 from cowsliploom.forwarding._budget import ExtraBudget as ExtraBudget
+from cowsliploom.forwarding._budgets import BudgetRules as BudgetRules
+from cowsliploom.forwarding._budgets import ServiceBudgets as ServiceBudgets
 from cowsliploom.forwarding._call_memory import CallMemory as CallMemory
 from cowsliploom.forwarding._call_memory import SeenCall as SeenCall
-from cowsliploom.forwarding._desk import BudgetRules as BudgetRules
 from cowsliploom.forwarding._desk import ForwardingDesk as ForwardingDesk
 from cowsliploom.forwarding._exchange import Exchange as Exchange
 from cowsliploom.forwarding._fleet import Fleet as Fleet
--- a/cowsliploom/forwarding/_budget.py
+++ b/cowsliploom/forwarding/_budget.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 
 
+MEMORY_RATIO = 1.05  # calls count longer than the window, as they arrive later
+
+
 class WindowCount:
     """Count events of the last ``window_ms``, in slices.
 
@@ -12,10 +15,10 @@
     window_ms : float
         Length of the window, in milliseconds.
     slices : int
-        Parts in which the window moves on. Default 20.
+        Parts in which the window moves on. Default 100.
     """
 
-    def __init__(self, window_ms: float, slices: int = 20) -> None:
+    def __init__(self, window_ms: float, slices: int = 100) -> None:
         self.window_ms = window_ms
         self.slices = slices
         self._counts: deque[list[float]] = deque()
@@ -78,16 +81,17 @@
 
     Notes
     -----
-    Each entry VM sees only its own requests and may use ``ratio`` of those and its
-    part of ``extra``, so the sum keeps the bound however uneven the traffic is.
+    Each entry VM pays for its extra calls with ``ratio`` of the requests that it has
+    taken itself, and with its share of ``extra``. Requests and calls of one VM come and
+    go together, so the sum keeps the bound as long as the shares do.
 
     Examples
     --------
     >>> budget = ExtraBudget(ratio=0.2, extra=8, window_ms=10_000)
-    >>> budget.may_spend(now_ms=0, sharers=8)
+    >>> budget.may_spend(now_ms=0, share=0.125)
     True
     >>> budget.spend(0)
-    >>> budget.may_spend(now_ms=0, sharers=8)
+    >>> budget.may_spend(now_ms=0, share=0.125)
     False
     """
 
@@ -95,7 +99,7 @@
         self.ratio = ratio
         self.extra = extra
         self.requests = WindowCount(window_ms)
-        self.spent = WindowCount(window_ms * 1.1)  # a slice more, as slices are coarse
+        self.spent = WindowCount(window_ms * MEMORY_RATIO)
         self.sent = 0
         self.denied = 0
 
@@ -113,25 +117,25 @@
         self.spent.add(now_ms)
         self.sent += 1
 
-    def deny(self, now_ms: float, sharers: int) -> str:
+    def deny(self, now_ms: float, share: float) -> str:
         """Count a work that was denied an extra call; return the figures."""
         self.denied += 1
         spent = self.spent.total(now_ms)
-        return f'extra calls used up: {spent:g} of {self.allowed(now_ms, sharers):.1f}'
+        return f'extra calls used up: {spent:g} of {self.allowed(now_ms, share):.1f}'
 
-    def allowed(self, now_ms: float, sharers: int) -> float:
+    def allowed(self, now_ms: float, share: float) -> float:
         """Return how many extra calls the window may hold."""
-        return self.ratio * self.requests.total(now_ms) + self.extra / sharers
+        return self.ratio * self.requests.total(now_ms) + self.extra * share
 
-    def left(self, now_ms: float, sharers: int) -> float:
+    def left(self, now_ms: float, share: float) -> float:
         """Return how many extra calls may still be sent now."""
-        return self.allowed(now_ms, sharers) - self.spent.total(now_ms)
+        return self.allowed(now_ms, share) - self.spent.total(now_ms)
 
-    def may_spend(self, now_ms: float, sharers: int) -> bool:
+    def may_spend(self, now_ms: float, share: float) -> bool:
         """Tell whether one more extra call may be sent."""
-        return self.left(now_ms, sharers) >= 1
+        return self.left(now_ms, share) >= 1
 
-    def report(self, service: str, now_ms: float, sharers: int) -> BudgetReport | None:
+    def report(self, service: str, now_ms: float, share: float) -> BudgetReport | None:
         """Return what was decided since the last report; None for nothing."""
         if not (self.sent or self.denied):
             return None
@@ -139,7 +143,7 @@
             service,
             self.requests.total(now_ms),
             self.spent.total(now_ms),
-            round(self.allowed(now_ms, sharers), 1),
+            round(self.allowed(now_ms, share), 1),
             self.sent,
             self.denied,
         )
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cowsliploom.forwarding._budget import BudgetReport, ExtraBudget
+from cowsliploom.forwarding._budgets import BudgetRules, ServiceBudgets
 from cowsliploom.forwarding._call_memory import CallMemory
 from cowsliploom.forwarding._exchange import Exchange
 from cowsliploom.forwarding._fleet import Fleet, calls_max
@@ -33,25 +33,6 @@
 ROUTES_KEPT = 512  # latencies remembered; routes come and go
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetRules:
-    """Bound the calls beyond the first of each request, for each service.
-
-    Parameters
-    ----------
-    ratio : float
-        Extra calls for each request.
-    extra : float
-        Extra calls beyond these, of all entry VMs together.
-    window_ms : float
-        Length of the sliding window.
-    """
-
-    ratio: float
-    extra: float
-    window_ms: float
-
-
 @dataclass(frozen=True, slots=True)
 class _Basis:
     """Hold what a plan of shares was made from, besides its route."""
@@ -91,12 +72,11 @@
         data_centre: str,
         owns: Callable[[str], bool],
     ) -> None:
-        self._budget_rules = budget_rules
+        self._budgets = ServiceBudgets(budget_rules)
         self.table = RouteTable()
         self.fleet = Fleet(seed, data_centre, owns)
         self._random = random.Random(seed)
         self._call_ids = itertools.count(1)
-        self._budgets: dict[str, ExtraBudget] = {}
         self._latencies: dict[str, RecentLatency] = {}
         self.name = ''
         self.members: Callable[[], tuple[Member, ...]] = tuple
@@ -107,6 +87,11 @@
         self._lateness = RecentLatency(default_ms=0)
         self.calls = CallMemory()
 
+    @property
+    def budgets(self) -> ServiceBudgets:
+        """Return the budgets of extra calls."""
+        return self._budgets
+
     @property
     def lateness_ms(self) -> float:
         """Return how late this process usually comes to what is due."""
@@ -116,21 +101,6 @@
         """Note how late something that was due has been looked at."""
         self._lateness.add(max(0, late_ms))
 
-    def change_budget(self, rules: BudgetRules) -> None:
-        """Take other bounds of extra calls, for services that are known too."""
-        self._budget_rules = rules
-        for budget in self._budgets.values():
-            budget.change(rules.ratio, rules.extra)
-
-    def budget_reports(self, now_ms: float) -> list[BudgetReport]:
-        """Return what was decided on extra calls since the last reports."""
-        sharers = self.fleet.sharers
-        reports = (
-            budget.report(service, now_ms, sharers)
-            for service, budget in self._budgets.items()
-        )
-        return [report for report in reports if report is not None]
-
     def take_table(self, table: RouteTable) -> bool:
         """Take a table of a higher version; tell whether it was."""
         if table.version <= self.table.version:
@@ -259,11 +229,7 @@
         return (self._work(self._turns.next_service(route), progress, sharers),)
 
     def _work(self, service: str, progress: Progress, sharers: int) -> Work:
-        budget = self._budgets.get(service)
-        if budget is None:
-            rules = self._budget_rules
-            budget = ExtraBudget(rules.ratio, rules.extra, rules.window_ms)
-            self._budgets[service] = budget
+        budget = self._budgets.of_service(service)
         rules_of_service = self.table.rules(service)
         sharers = sharers or self.fleet.sharers
         allowed = calls_max(rules_of_service.connections_max, sharers)
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+from cowsliploom.forwarding._budgets import ServiceBudgets
 from cowsliploom.forwarding._call_memory import CallMemory
 from cowsliploom.forwarding._fleet import CallLimits, Fleet
 from cowsliploom.forwarding._latency import RecentLatency
@@ -44,6 +45,11 @@
     fleet: Fleet
     calls: CallMemory
 
+    @property
+    def budgets(self) -> ServiceBudgets:
+        """Return the budgets of extra calls."""
+        ...
+
     @property
     def lateness_ms(self) -> float:
         """Return how late this process usually comes to what is due."""
@@ -287,9 +293,9 @@
         runs_once = work.may_have_run and not self.route.repeatable
         if runs_once or not work.may_send_again(self.route.attempts_max):
             return 'attempts used up'
-        sharers = self._desk.fleet.sharers
-        if work.sends and not work.budget.may_spend(now_ms, sharers):
-            work.deny(now_ms, sharers)
+        share = self._desk.budgets.constant_share
+        if work.sends and not work.budget.may_spend(now_ms, share):
+            work.deny(now_ms, share)
             return 'budget of extra calls used up'
         return ''
 
--- a/cowsliploom/forwarding/tests/desk_world.py
+++ b/cowsliploom/forwarding/tests/desk_world.py
@@ -49,6 +49,7 @@
 def make_desk(owns=bool, servers=2):
     """Return a desk with a table and some servers for each service."""
     desk = ForwardingDesk(RULES, 7, 'de', owns)
+    desk.budgets.read_share = lambda: 1
     names = ('one', *SHARDS)
     desk.take_table(
         RouteTable(
--- a/cowsliploom/forwarding/tests/test_budget.py
+++ b/cowsliploom/forwarding/tests/test_budget.py
@@ -16,13 +16,15 @@
 ROUTE = Route('r', 'h', '/', True, 2, 1000, 100, services=(WeightedService('s', 1),))
 
 
-@pytest.mark.parametrize(('sharers', 'allowed'), [(1, 28), (4, 22), (8, 21)])
-def test_each_entry_vm_uses_its_ratio_and_its_part_of_the_extra(sharers, allowed):
+@pytest.mark.parametrize(
+    ('share', 'allowed'), [(1, 28), (0.25, 22), (0.125, 21), (0, 20)]
+)
+def test_each_entry_vm_uses_its_ratio_and_its_part_of_the_extra(share, allowed):
     budget = ExtraBudget(ratio=0.2, extra=8, window_ms=WINDOW_MS)
     for _ in range(100):
         budget.earn(0)
     spent = 0
-    while budget.may_spend(0, sharers):
+    while budget.may_spend(0, share):
         budget.spend(0)
         spent += 1
     assert spent == allowed
@@ -41,8 +43,8 @@
     budget = budget_of(desk)
     for _ in range(3):
         budget.spend(0)
-    desk.change_budget(BudgetRules(0, 2, WINDOW_MS))
+    desk.budgets.change(BudgetRules(0, 2, WINDOW_MS))
     assert not budget.may_spend(0, 1)
     assert budget_of(desk) is budget
-    desk.change_budget(BudgetRules(0, 4, WINDOW_MS))
+    desk.budgets.change(BudgetRules(0, 4, WINDOW_MS))
     assert budget.may_spend(0, 1)
--- a/cowsliploom/forwarding/tests/test_exchange.py
+++ b/cowsliploom/forwarding/tests/test_exchange.py
@@ -226,7 +226,7 @@
 
 def test_extra_calls_of_a_service_stay_within_the_budget():
     desk = make_desk()
-    desk.fleet.sharers = 8
+    desk.budgets.read_share = lambda: 1 / 8
     sent = 0
     requests = 200
     for number in range(requests):
--- a/cowsliploom/forwarding/tests/test_parts.py
+++ b/cowsliploom/forwarding/tests/test_parts.py
@@ -74,7 +74,7 @@
         now_ms += gap_ms
         budget.earn(now_ms)
         earned.append(now_ms)
-        if wants and budget.may_spend(now_ms, sharers):
+        if wants and budget.may_spend(now_ms, 1 / sharers):
             budget.spend(now_ms)
             spent.append(now_ms)
     for end_ms in spent:
--- a/cowsliploom/gateway/_budget_log.py
+++ b/cowsliploom/gateway/_budget_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from cowsliploom.forwarding import BudgetReport, ForwardingDesk
+from cowsliploom.forwarding import BudgetReport, ServiceBudgets
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._line_log import LineLog
 
@@ -15,8 +15,8 @@
 
     Parameters
     ----------
-    desk : ForwardingDesk
-        Owner of the budgets.
+    budgets : ServiceBudgets
+        Budgets of all services.
     log : LineLog
         Log of lines.
     figures : Figures
@@ -27,12 +27,12 @@
 
     def __init__(
         self,
-        desk: ForwardingDesk,
+        budgets: ServiceBudgets,
         log: LineLog,
         figures: Figures,
         now_ms: Callable[[], float],
     ) -> None:
-        self._desk = desk
+        self._budgets = budgets
         self._log = log
         self._figures = figures
         self._now_ms = now_ms
@@ -44,7 +44,7 @@
         if now_ms - self._told_ms < REPORT_MS:
             return
         self._told_ms = now_ms
-        reports = sorted(self._desk.budget_reports(now_ms), key=_urgency)
+        reports = sorted(self._budgets.reports(now_ms), key=_urgency)
         self._figures.count('extra_calls', sum(one.sent for one in reports))
         self._figures.count('extra_calls_denied', sum(one.denied for one in reports))
         for report in reports[:LINES_MAX]:
@@ -60,7 +60,7 @@
             allowed=report.allowed,
             sent=report.sent,
             denied=report.denied,
-            sharers=self._desk.fleet.sharers,
+            constant_share=round(self._budgets.constant_share, 4),
             services=services,
         )
 
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -10,6 +10,7 @@
 from cowsliploom.forwarding import CallerLimits, ForwardingDesk
 from cowsliploom.gateway._background import keep_running
 from cowsliploom.gateway._budget_log import BudgetLog
+from cowsliploom.gateway._budget_share import BudgetShare
 from cowsliploom.gateway._calls import ServerPools
 from cowsliploom.gateway._figures import Figures
 from cowsliploom.gateway._forwarder import Forwarder
@@ -82,6 +83,10 @@
             self._now_ms,
             self.settings.apply_ms,
         )
+        self._budget_share = BudgetShare(
+            known, self._desk.budgets, self.log, self._now_ms
+        )
+        self._desk.budgets.read_share = self._budget_share.read
         self._desk.name = own.name
         self._desk.members = self._peers.others
         self._watch = StoreWatch(
@@ -162,7 +167,7 @@
 
     async def _sweep(self) -> None:
         suspension = Suspension(self._now_ms)
-        budget_log = BudgetLog(self._desk, self.log, self.figures, self._now_ms)
+        budget_log = BudgetLog(self._desk.budgets, self.log, self.figures, self._now_ms)
         while True:
             due_ms = self._now_ms() + SWEEP_MS
             await asyncio.sleep(SWEEP_MS / MS_PER_S)
@@ -172,6 +177,7 @@
                 self._resume(missed_ms)
             self._knowledge.release_held(self._now_ms())
             self._pools.sweep()
+            self._budget_share.read()  # counts who is spoken of, though nobody spends
             budget_log.tell()
             self._callers.is_draining = self._is_draining or self._isolation.is_isolated
 
@@ -207,7 +213,7 @@
         self._peers.known.seeds = settings.seeds
         self._peers.attendance.apply_ms = settings.apply_ms
         self._knowledge.apply_ms = settings.apply_ms
-        self._desk.change_budget(settings.budget)
+        self._desk.budgets.change(settings.budget)
         self.settings = settings
         self.log.write('daemon', 'reloaded', seeds=list(settings.seeds))
 
--- a/cowsliploom/gateway/tests/test_budget_log.py
+++ b/cowsliploom/gateway/tests/test_budget_log.py
@@ -26,8 +26,8 @@
 def test_a_second_of_extra_calls_is_told_in_few_lines(path, services, denied):
     log, figures, clock = Notes(), Figures(), [0]
     desk = make_desk()
-    desk.change_budget(BudgetRules(0.2, 1, 10_000))
-    budget_log = BudgetLog(desk, log, figures, lambda: clock[0])
+    desk.budgets.change(BudgetRules(0.2, 1, 10_000))
+    budget_log = BudgetLog(desk.budgets, log, figures, lambda: clock[0])
     for now_ms in (10, 50):
         shed_all(desk, path, now_ms)
     budget_log.tell()
@@ -50,7 +50,7 @@
 
 def test_the_line_of_a_request_says_that_the_budget_denied_it_a_call():
     desk = make_desk()
-    desk.change_budget(BudgetRules(0.2, 0, 10_000))
+    desk.budgets.change(BudgetRules(0.2, 0, 10_000))
     play = shed_all(desk, '/safe/', now_ms=0)
     log = Notes()
     RequestLog(log, Figures(), make_knowledge()).ended(
--- /dev/null
+++ b/cowsliploom/gateway/tests/test_budget_share.py
@@ -0,0 +1,55 @@
+"""A VM's share of the constant part follows whom it may be sharing with."""
+
+import pytest
+
+from cowsliploom.forwarding import BudgetRules, ServiceBudgets
+from cowsliploom.gateway._budget_share import BudgetShare
+from cowsliploom.gateway.tests.test_knowledge import Notes
+from cowsliploom.members import Acquaintances, Member, Sighting
+
+RULES = BudgetRules(0.2, 50, 1000)
+OWN = Member('own', 'own:1', 'de')
+SETTLED_MS = 1050
+LATER_MS = 60_000  # silent members are no longer spoken of by then
+
+
+def share_after(now_ms, others=(), seeds=('own:1', 'b:1'), heard_ms=100):
+    """Return the share and the log of a VM that heard of others once."""
+    clock, log = [0], Notes()
+    known = Acquaintances(OWN, seeds, 1)
+    budgets = ServiceBudgets(RULES)
+    share = BudgetShare(known, budgets, log, lambda: clock[0])
+    clock[0] = heard_ms
+    members = [Member(name, f'{name}:1', 'de') for name in others]
+    known.hear((Sighting(member, 0) for member in members), heard_ms)
+    share.read()
+    clock[0] = now_ms
+    known.sightings(now_ms)
+    return share.read(), log.lines
+
+
+@pytest.mark.parametrize(
+    ('now_ms', 'others', 'seeds', 'expected'),
+    [
+        (200, 'bcde', ('b:1',), 0.02),
+        (200, 'b', ('b:1', 'c:1', 'd:1'), 0.025),
+        (1000, 'bcde', ('b:1',), 0.02),
+        (SETTLED_MS, 'bcde', ('b:1',), 0.08),
+        (LATER_MS, 'bcde', ('b:1',), 0.08),
+        (LATER_MS, '', ('own:1', 'b:1'), 0),
+        (1000, '', ('own:1',), 0.1),
+        (LATER_MS, '', ('own:1',), 0.4),
+        (LATER_MS, '', (), 0.4),
+    ],
+)
+def test_the_share_is_of_those_that_were_heard_of(now_ms, others, seeds, expected):
+    share, lines = share_after(now_ms, others, seeds)
+    assert share == pytest.approx(expected)
+    assert bool(lines) == bool(expected)
+
+
+def test_a_change_of_the_share_is_told_with_who_is_counted():
+    lines = share_after(LATER_MS, 'bcde')[1]
+    part, event, fields = lines[-1]
+    assert (part, event) == ('budget', 'share changed')
+    assert fields == {'constant_share': 0.08, 'counted': 5, 'live': 1}
--- a/cowsliploom/members/__init__.py
+++ b/cowsliploom/members/__init__.py
@@ -4,6 +4,7 @@
 from cowsliploom.members._acquaintances import Census as Census
 from cowsliploom.members._acquaintances import Sighting as Sighting
 from cowsliploom.members._attendance import Attendance as Attendance
+from cowsliploom.members._fleet_share import FleetShare as FleetShare
 from cowsliploom.members._members import Member as Member
 from cowsliploom.members._members import MemberState as MemberState
 from cowsliploom.members._members import MemberStatus as MemberStatus
