Take an answer for whole at the end of its connection only with a whole head

Cause: an answer without a length ends with its connection. Whether it had begun, and one header was read, stood for whether its head was whole; the last header, such as a length, is told only with the next line. An interim answer (103) counted as begun too.

Change: the head of a final status has to be whole.

Ruled out: bodies cut in a length or in chunks, which were failures before.

--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -130,7 +130,7 @@
         self._headers: HeaderList = []
         self._length_bytes = 0
         self._body = bytearray()
-        self._in_message = False
+        self._is_head_whole = False
         self._is_framed = False
         self._stale_answers = 0
         self._finished: _Finished | None = None
@@ -161,8 +161,8 @@
         self._deliver()
 
     def eof_received(self) -> bool:
-        """End an answer that has no length of its own."""
-        has_answer = self._in_message and not self._is_framed and self._headers
+        """End an answer that has no length of its own; a cut head is no answer."""
+        has_answer = self._is_head_whole and not self._is_framed
         if self._call is not None and has_answer:
             self._complete(keep=False)
             self._deliver()
@@ -183,7 +183,7 @@
         self._has_extra = self._finished is not None
         if self._has_extra:
             return
-        self._in_message = True
+        self._is_head_whole = False
         self._is_framed = False
         self._headers = []
         self._length_bytes = 0
@@ -206,9 +206,10 @@
     def on_headers_complete(self) -> None:
         """Count what follows as body, unless another head does."""
         status = self._parser.get_status_code()
+        self._is_head_whole = status >= FINAL_STATUS_MIN
         if status in BODILESS_STATUSES:
             self._meter.begin_body(0)
-        elif status >= FINAL_STATUS_MIN:
+        elif self._is_head_whole:
             self._meter.begin_body(self._length_bytes)
 
     def on_body(self, chunk: bytes) -> None:
@@ -274,7 +275,7 @@
             self._fail(CallStep.DECODE, f'{passed} from {self.pool.address}')
 
     def _complete(self, keep: bool) -> None:
-        self._in_message = False
+        self._is_head_whole = False
         call = self._call
         if call is None:
             return
--- a/cowsliploom/standins/_users_backend.py
+++ b/cowsliploom/standins/_users_backend.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cowsliploom.dataplane import HttpListener, HttpRequest
+from cowsliploom.dataplane import HeaderList, HttpListener, HttpRequest
 from cowsliploom.standins._endless import EndlessAnswer, send_without_end
 
 MS_PER_S = 1000
@@ -29,6 +29,8 @@
         Request id to echo instead of the request's own.
     endless : EndlessAnswer or None
         Sent in place of each answer.
+    cut_before : bytes
+        Where each answer breaks off and its connection closes; empty for whole ones.
     """
 
     delay_ms: float = 0
@@ -37,6 +39,7 @@
     is_mute: bool = False
     crossed_id: str = ''
     endless: EndlessAnswer | None = None
+    cut_before: bytes = b''
 
 
 class UsersBackend:
@@ -127,8 +130,20 @@
             ('Server-Load', '1,0,2'),
         ]
         body = self.content_for(request_id)
+        if self.faults.cut_before:
+            self._send_cut(request, headers, body)
+            return
         request.answer(self.faults.status, headers, body)
 
+    def _send_cut(self, request: HttpRequest, headers: HeaderList, body: bytes) -> None:
+        lines = [f'{name}: {text}' for name, text in headers]
+        head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, f'Content-Length: {len(body)}'))
+        whole = b'\r\n\r\n'.join((head.encode(), body))
+        transport = request.connection.transport
+        if transport is not None:
+            transport.write(whole[: whole.index(self.faults.cut_before)])
+            transport.close()
+
     async def _send_endless(self, request: HttpRequest, answer: EndlessAnswer) -> None:
         transport = request.connection.transport
         if transport is not None:
