Refuse what comes too late in the grace, and answer what is open at its end

What callers saw (report of another operator): in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them some that may run once only. It can happen here: a request of 1.3 s taken 2.1 s after SIGTERM with a grace of 4 s was cut at 3.2 s.

Cause: a stopping process took requests as ever until the last moment, and closed all connections then, whatever was open on them.

Change: a request that may need longer than is left (twice the target of its route, at most its timeout or deadline) is refused at once with 503, which is true, and Retry-After of about 50 ms, as others serve. At the end each open request is answered: from its parts if enough are in, 503 if it was never sent, else 504. Calls that nobody waits for are dropped.

Evidence: test_requests_late_in_the_grace_are_answered_or_refused (process) and test_a_process_that_stops_answers_with_what_there_is fail without it.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -32,6 +32,7 @@
 from cowsliploom.forwarding._messages import Reply as Reply
 from cowsliploom.forwarding._messages import SendCall as SendCall
 from cowsliploom.forwarding._messages import Ticked as Ticked
+from cowsliploom.forwarding._messages import Stopping as Stopping
 from cowsliploom.forwarding._messages import TurnAway as TurnAway
 from cowsliploom.forwarding._moves import MoveOrder as MoveOrder
 from cowsliploom.forwarding._moves import VersionSplit as VersionSplit
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -23,6 +23,7 @@
     RelayedCall,
     Reply,
     SendCall,
+    Stopping,
     Ticked,
 )
 from cowsliploom.forwarding._pace import Pace
@@ -149,6 +150,8 @@
             case CallerLeft():
                 self.is_left = True
                 return list(self._drop_all())
+            case Stopping():
+                return [*self._settle(self._times.limit_ms), *self._drop_all()]
             case Ticked() if self.reply is not None:
                 commands.extend(self._give_up_calls(now_ms))
             case Ticked():
--- a/cowsliploom/forwarding/_messages.py
+++ b/cowsliploom/forwarding/_messages.py
@@ -130,6 +130,13 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """Take the word that the process ends, so that the request is answered now."""
+
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class PartsRelayed:
     """Take the answers to several calls that a relay has merged.
@@ -168,6 +175,7 @@
     CallAnswered
     | CallFailed
     | CallerLeft
+    | Stopping
     | Ticked
     | PartsRelayed
     | PartMissed
--- a/cowsliploom/forwarding/tests/test_exchange.py
+++ b/cowsliploom/forwarding/tests/test_exchange.py
@@ -12,6 +12,7 @@
     Gathered,
     Outcome,
     PassOn,
+    Stopping,
     ServerState,
     TurnAway,
 )
@@ -297,3 +298,35 @@
     (call_id,) = play.open_ids
     play.answer(call_id, 10, BackendAnswer(status))
     assert play.reply.outcome is Outcome.FAILED
+
+
+@pytest.mark.parametrize(
+    ('path', 'parts', 'outcome'),
+    [
+        ('/safe/x', 0, Outcome.TIMED_OUT),
+        ('/once/x', 0, Outcome.TIMED_OUT),
+        ('/wide/x', 7, Outcome.TIMED_OUT),
+        ('/wide/x', 8, None),
+    ],
+)
+def test_a_process_that_stops_answers_with_what_there_is(path, parts, outcome):
+    """Open requests were cut without an answer."""
+    play = Play.start(make_desk(), path)
+    for number, call_id in enumerate(play.open_ids[:parts]):
+        play.answer(call_id, 5, good(b'a' * 16, f'sig{number}'))
+    assert play.reply is None
+    play.step(Stopping(10))
+    if outcome is None:
+        assert isinstance(play.reply, Gathered)
+    else:
+        assert play.reply.outcome is outcome
+    assert play.exchange.is_over
+
+
+def test_a_process_that_stops_refuses_what_was_never_sent():
+    desk = make_desk(servers=1)
+    desk.fleet.get('one-0').shed(0)
+    play = Play.start(desk, '/once/x')
+    assert not play.calls
+    play.step(Stopping(2))
+    assert play.reply.outcome is Outcome.REFUSED
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -157,6 +157,7 @@
         self._is_draining = True
         self.log.write('daemon', 'draining', open_requests=self._forwarder.open)
         self._callers.drain()
+        self._forwarder.stop_at(stop_ms)
         self._loop.create_task(self._peers.leave())
         while self._now_ms() < stop_ms:
             if self._now_ms() - started_ms > CLOSE_IDLE_AFTER_MS:
@@ -164,6 +165,8 @@
                 if not (self._callers.connections or self._forwarder.open):
                     break
             await asyncio.sleep(DRAIN_STEP_MS / MS_PER_S)
+        self._forwarder.end_all()
+        await asyncio.sleep(DRAIN_STEP_MS / MS_PER_S)  # for the last answers
 
     async def _sweep(self) -> None:
         suspension = Suspension(self._now_ms)
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -12,13 +12,19 @@
     Exchange,
     Gathered,
     PassOn,
+    Outcome,
     Reply,
+    Route,
+    Stopping,
     TurnAway,
 )
 from cowsliploom.gateway._calls import CallRunner, ServerPools
 from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
 
+ROOM_RATIO = 2  # of a route's target; most requests are answered within that
+RETRY_AFTER_MS = 50.0  # other entry VMs serve meanwhile
+
 
 class Forwarder:
     """Own the open requests.
@@ -39,7 +45,22 @@
         self.pools = pools
         self.relays = relays
         self.request_log = request_log
-        self.open = 0
+        self._runs: set[_Run] = set()
+        self._stop_ms = float('inf')
+
+    @property
+    def open(self) -> int:
+        """Return the number of open requests."""
+        return len(self._runs)
+
+    def stop_at(self, stop_ms: float) -> None:
+        """Take no request from now on that may not be answered by then."""
+        self._stop_ms = stop_ms
+
+    def end_all(self) -> None:
+        """Answer all open requests with what there is, as the process ends."""
+        for run in tuple(self._runs):
+            run.step(Stopping(self.pools.now_ms()))
 
     def take(self, http: HttpRequest) -> Callable[[], None] | None:
         """Take a caller's request; return what to call if the caller leaves."""
@@ -51,25 +72,34 @@
             http.arrived_ms,
             http.path_ms,
         )
-        opened = self.pools.desk.open(request)
+        opened = self._open(request)
         if isinstance(opened, TurnAway):
             self._reply(http, request, None, opened)
             return None
         run = _Run(self, http, request, opened)
-        self.open += 1
+        self._runs.add(run)
         run.start()
         return run.caller_left
 
-    def finish(
-        self,
-        http: HttpRequest,
-        request: CallerRequest,
-        exchange: Exchange,
-        reply: Reply | None,
-    ) -> None:
+    def finish(self, run: '_Run', reply: Reply | None) -> None:
         """Answer a request, or note that its caller has left."""
-        self.open -= 1
-        self._reply(http, request, exchange, reply)
+        self._runs.discard(run)
+        self._reply(run.http, run.request, run.exchange, reply)
+
+    def _open(self, request: CallerRequest) -> Exchange | TurnAway:
+        desk = self.pools.desk
+        opened = desk.open(request)
+        if isinstance(opened, Exchange) and self._is_late(request, opened.route):
+            retry_after_ms = desk.retry_after_ms(RETRY_AFTER_MS)
+            return TurnAway(Outcome.REFUSED, 'about to stop', retry_after_ms)
+        return opened
+
+    def _is_late(self, request: CallerRequest, route: Route) -> bool:
+        """Tell whether the process may end before a request is answered."""
+        needed_ms = min(
+            route.target_ms * ROOM_RATIO, route.timeout_ms, request.patience_ms
+        )
+        return request.arrived_ms + needed_ms > self._stop_ms
 
     def _reply(
         self,
@@ -105,14 +135,14 @@
             request.body,
         )
         self._owner = owner
-        self._http = http
-        self._request = request
-        self._exchange = exchange
+        self.http = http
+        self.request = request
+        self.exchange = exchange
 
     def caller_left(self) -> None:
         """Drop all calls, as nobody waits."""
         self.step(CallerLeft(self.pools.now_ms()))
-        self._owner.finish(self._http, self._request, self._exchange, None)
+        self._owner.finish(self, None)
 
     def conclude(self, command: Command) -> None:
         """Ask a relay, or answer the caller."""
@@ -120,7 +150,7 @@
             case AskRelay():
                 self._owner.relays.ask(command, self)
             case PassOn() | Gathered() | TurnAway():
-                self._owner.finish(self._http, self._request, self._exchange, command)
+                self._owner.finish(self, command)
 
 
 def _render(request_id: str, reply: Reply | None) -> platform.WireReply | None:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -20,6 +20,8 @@
 pytestmark = pytest.mark.processes
 
 LATE_S = 0.6  # the target is 0.15 s; the machine may be busy
+TAKEN_S = 2.1  # after SIGTERM; the process ends at 3.2 s, the request needs 1.3 s
+LATE_IN_GRACE_S = 2.5  # less is left then than such requests may need
 
 
 def test_requests_are_served_from_parts_and_by_one_server(tmp_path):
@@ -223,3 +225,28 @@
         assert b'cowsliploom_loop_late_ms' in figures.body
 
     play(tmp_path, script)
+
+
+def test_requests_late_in_the_grace_are_answered_or_refused(tmp_path):
+    """They were passed on and cut at the end of the grace, with no answer."""
+
+    async def script(world):
+        process = await world.gateway(2)
+        await world.ready(2)
+        backend = world.backends['one']
+        backend.faults.delay_ms = 1300
+        process.send_signal(signal.SIGTERM)
+        started = time.monotonic()
+        await asyncio.sleep(TAKEN_S)
+        address = f'{PLACE}.2:18100'
+        taken = asyncio.create_task(ask(address, '/once/x', 'POST', b'x', 'taken'))
+        await asyncio.sleep(LATE_IN_GRACE_S - TAKEN_S)
+        late = await ask(address, '/once/x', 'POST', b'x', 'late')
+        assert (late.status, dict(late.headers)['Connection']) == (503, 'close')
+        assert 0 < float(dict(late.headers)['Retry-After']) < LATE_S
+        assert time.monotonic() < started + LATE_IN_GRACE_S + LATE_S
+        assert (await taken).status in {502, 504}
+        assert await asyncio.wait_for(process.wait(), 5) == 0
+        assert backend.ran == ['taken']
+
+    play(tmp_path, script)
