Own no cold server while the members that could own it too are in doubt

A cold server bears a few requests a second from all VMs together.

A process that knows nobody yet owned all cold servers, each of seven after a restart of all; so did one that wakes, to which all others seem gone. Who took over from a silent member began at once, though that one may not know.

Change: a VM owns a cold server only if its members have not changed for a second, and it has heard of another one unless it has no other seed.

--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -13,6 +13,7 @@
     Member,
     Sighting,
     chosen_watchers,
+    rank_names,
 )
 from cowsliploom.dataplane import HttpListener, HttpRequest
 from cowsliploom.forwarding import CallerLimits
@@ -42,6 +43,7 @@
 UNKNOWN_SHARERS = 12  # while nobody was heard: careful, as there may be many
 REACH_ASKED = 3
 PEER_LIMITS = CallerLimits(body_bytes_max=MESSAGE_BYTES_MAX)
+OWNER_HOLD_MS = 1000.0  # after a change of members, which others see later
 ASK_WATCHER_SHARE = 0.5  # of exchanges while it may be gone; others stay in touch
 
 
@@ -88,6 +90,7 @@
         )
         self._random = random.Random(known.own.name)
         self._live: frozenset[str] = frozenset()
+        self._changed_ms = now_ms()
         self._others: tuple[Member, ...] = ()
         self._is_leaving = False
         self._background = Background()
@@ -160,8 +163,20 @@
         return self._others
 
     def owns(self, server: str) -> bool:
-        """Tell whether this daemon is the one that may ask a cold server."""
-        return self.known.first_of(server, self.now_ms(), 1) == (self.known.own.name,)
+        """Tell whether this daemon is the one that may ask a cold server.
+
+        Nobody does for a while after members have come or gone in its eyes, as it
+        may not be alone in taking the server over.
+        """
+        now_ms = self.now_ms()
+        own = self.known.own
+        live = frozenset(self.known.live_names(now_ms))
+        held_ms = now_ms - self._changed_ms
+        may_be_alone = not set(self.known.seeds) - {own.address}
+        if live != self._live or held_ms < OWNER_HOLD_MS:
+            return False
+        is_first = rank_names(server, live, 1) == (own.name,)
+        return is_first and (self.known.has_heard or may_be_alone)
 
     def partner(self) -> str | None:
         """Return whom to ask next: the watcher if it may be gone, or anybody."""
@@ -192,6 +207,7 @@
                 gone=sorted(self._live - live),
             )
             self._live = live
+            self._changed_ms = self.now_ms()
             wanted = {member.address for member in self.known.remembered()}
             wanted.update(self.known.seeds)
             self._calls.pools.keep(wanted.__contains__)
