Refuse late requests and answer open ones in a stop of the threaded path too

What callers saw: nothing here yet; the same as in the other path. An entry daemon that drained took requests until its end. In a process test a booking sent 1.5 s after SIGTERM, 0.5 s before the end of the drain, was taken.

Change: as in the gateway. A request that may need a second and has less is refused with 503, ran: no, cause stopping. At the end of the drain what still waits is answered with 504, ran: unknown.

Evidence: test_planned_stop.py (process) and test_entry_stopping.py; the first failed before.

--- a/cowsliploom/daemons/_entry_daemon.py
+++ b/cowsliploom/daemons/_entry_daemon.py
@@ -98,19 +98,24 @@
             loop.add_signal_handler(number, self._take_signal, stop)
         async with AsyncExitStack() as stack:
             stack.enter_context(LogLines())
-            server = await self._start(stack, loop)
+            api = self._make_api(stack)
+            server = await self._start(stack, loop, api)
             await stop.wait()
-            await self._drain(server)
+            await self._drain(server, api)
         self.log.write('Stopped.', name=self.settings.name)
 
+    def _make_api(self, stack: AsyncExitStack) -> CallerApi:
+        claims = stack.enter_context(
+            ClaimsTask(self._open_store(stack), self.clock, self._identity)
+        )
+        views = EntryViews(self._tell, self._fleet)
+        return CallerApi(self._router.post, claims, self.clock, views)
+
     async def _start(
-        self, stack: AsyncExitStack, loop: asyncio.AbstractEventLoop
+        self, stack: AsyncExitStack, loop: asyncio.AbstractEventLoop, api: CallerApi
     ) -> HttpServer:
         stack.enter_context(self._backends)
         self._router.start(loop)
-        claims = stack.enter_context(
-            ClaimsTask(self._open_store(stack), self.clock, self._identity)
-        )
         plan = StoreWatchPlan(self.settings.name, self.settings.data_centre, self._seed)
         watch = ConfigurationWatch(
             self._open_store(stack), self.clock, plan, self._router.post
@@ -135,9 +140,6 @@
         stack.enter_context(rollout)
         self._probe()
         self._spread_warm()
-        api = CallerApi(
-            self._router.post, claims, self.clock, EntryViews(self._tell, self._fleet)
-        )
         server = self._listen(api)
         stack.enter_context(server)
         ready = {'ready': server.address, 'peer': self._peers.address}
@@ -161,16 +163,19 @@
             self.log.write,
         )
 
-    async def _drain(self, server: HttpServer) -> None:
+    async def _drain(self, server: HttpServer, api: CallerApi) -> None:
         """Leave while callers are still served, then wait for the last answer."""
         self._draining = True
+        notice_ms = self.settings.drain_notice_ms
+        give_up_ms = self.clock.now_ms() + notice_ms + self.settings.drain_timeout_ms
+        api.stop_at(give_up_ms)
         self.log.write('Draining.', pending=self._router.pending)
-        await asyncio.sleep(self.settings.drain_notice_ms / MS_PER_S)
+        await asyncio.sleep(notice_ms / MS_PER_S)
         await self._peers.leave()
         server.drain()
-        give_up_ms = self.clock.now_ms() + self.settings.drain_timeout_ms
         while self._busy(server) and self.clock.now_ms() < give_up_ms:
             await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
+        api.end_all()
         self.log.write('Drained.', pending=self._router.pending)
 
     def _busy(self, server: HttpServer) -> bool:
--- a/cowsliploom/daemons/_entry_http.py
+++ b/cowsliploom/daemons/_entry_http.py
@@ -2,8 +2,7 @@
 
 import secrets
 from collections.abc import Callable
-from concurrent.futures import Future
-from concurrent.futures import TimeoutError as FutureTimeoutError
+from concurrent.futures import FIRST_COMPLETED, Future, wait
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import TypeVar
@@ -41,6 +40,8 @@
 TIMEOUT_MAX_MS = 60_000  # longest that a caller may hold a thread
 RUN_TIMEOUT_MS = 5000  # when a caller of a service gives no time limit
 WAIT_MARGIN_MS = 1000  # the router answers within a tick of the deadline
+NEEDED_MS = 1000  # most requests are answered sooner; later ones are refused in a stop
+STOP_RETRY_AFTER_MS = 50  # other entry VMs serve meanwhile
 ID_BYTES = 8
 ID_MAX_CHARS = 128  # ids are repeated in every call and log line
 TEXT_MAX_CHARS = 4096  # a screenshot's text; longer ones slow every shard
@@ -56,6 +57,7 @@
     RefusalCause.OVERLOADED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalCause.NO_SERVER: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalCause.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    RefusalCause.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalCause.BACKEND: HTTPStatus.BAD_GATEWAY,
 }
 
@@ -123,8 +125,20 @@
         views: EntryViews,
     ) -> None:
         self._post = post
+        self._clock = clock
         self._runs = RunDesk(claims, self.wait_for, clock)
         self._views = views
+        self._stop_ms = float('inf')
+        self._ended: Future[CallerOutcome] = Future()
+
+    def stop_at(self, stop_ms: float) -> None:
+        """Take no request from now on that may not be answered by then."""
+        self._stop_ms = stop_ms
+
+    def end_all(self) -> None:
+        """Answer all that wait, and refuse what still comes."""
+        self._stop_ms = self._clock.now_ms()
+        self._ended.set_exception(InterruptedError('the process ends'))
 
     def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -191,14 +205,20 @@
 
     def wait_for(self, asked: SearchAsked | RunAsked) -> CallerOutcome:
         """Hand a request to the router task and wait for its outcome."""
-        self._post(asked)
-        wait_ms = (asked.timeout_ms or TIMEOUT_MAX_MS) + WAIT_MARGIN_MS
-        try:
-            return asked.outcome.result(wait_ms / MS_PER_S)
-        except FutureTimeoutError:
+        timeout_ms = asked.timeout_ms or TIMEOUT_MAX_MS
+        if self._clock.now_ms() + min(timeout_ms, NEEDED_MS) > self._stop_ms:
+            cause = RefusalCause.STOPPING
             return RefuseCaller(
-                asked.query_id, RefusalCause.DEADLINE, 'wait', '', Ran.UNKNOWN, 0
+                asked.query_id, cause, 'stop', '', Ran.NO, STOP_RETRY_AFTER_MS
             )
+        self._post(asked)
+        wait_s = (timeout_ms + WAIT_MARGIN_MS) / MS_PER_S
+        wait((asked.outcome, self._ended), wait_s, FIRST_COMPLETED)
+        if asked.outcome.done():
+            return asked.outcome.result()
+        return RefuseCaller(
+            asked.query_id, RefusalCause.DEADLINE, 'wait', '', Ran.UNKNOWN, 0
+        )
 
 
 def _decode(request: HttpRequest, shape: type[Body]) -> Body:
--- a/cowsliploom/routing/_messages.py
+++ b/cowsliploom/routing/_messages.py
@@ -272,6 +272,7 @@
     OVERLOADED = 'overloaded'
     NO_SERVER = 'no_server'
     DEADLINE = 'deadline'
+    STOPPING = 'stopping'
     BACKEND = 'backend'
 
 
--- /dev/null
+++ b/tests/processes/test_planned_stop.py
@@ -0,0 +1,47 @@
+"""An entry daemon that is stopped while bookings are open and still come."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.processes.shape import DATA_CENTRES, Shape
+from tests.processes.world import World
+
+pytestmark = pytest.mark.processes
+
+DRAIN_TIMEOUT_MS = 1500
+ENDS_S = 2.0  # after SIGTERM: the notice and the drain
+NEVER_MS = 60_000
+
+
+@pytest.fixture
+def world(tmp_path):
+    with World(str(tmp_path), Shape(), entries=1) as running:
+        running.start_entry(
+            'stopped', DATA_CENTRES[0], '--drain-timeout-ms', str(DRAIN_TIMEOUT_MS)
+        )
+        running.list_vms()
+        running.apply_shape()
+        yield running
+
+
+def test_bookings_late_in_a_planned_stop_are_answered_or_refused(world):
+    """They were taken until the end, and cut there with no answer."""
+    for name, address in world.addresses.items():
+        if name.startswith('rota'):
+            faults = {'late_share': 1, 'late_ms': NEVER_MS}
+            assert world.put(address, '/admin/faults', faults).status < 300
+    stopped = world.entries[1]
+    with ThreadPoolExecutor() as pool:
+        taken = pool.submit(world.book, stopped, 'taken', 'key-1')
+        time.sleep(0.3)
+        stopping = threading.Thread(target=stopped.terminate)
+        stopping.start()
+        time.sleep(ENDS_S * 0.75)
+        late = world.book(stopped, 'late', 'key-2')
+        assert (late.status, late.body['ran']) == (503, 'no')
+        answer = taken.result()
+        stopping.join()
+    assert (answer.status, answer.body['ran']) == (504, 'unknown')
