Close the connections of test servers with their loop

What was seen: a whole run beside eight busy processes failed once in test_members.py: 'AST constructor recursion depth mismatch' in ast.parse, while pytest rewrites a module of hypothesis.

Cause: ast.parse in CPython 3.11 keeps its depth for the whole interpreter. An exception in a finalizer that the collector runs during a parse is formatted by pytest's hook, and that parses again (traceback marks the failing column). Such finalizers were left by test servers of the data plane whose handlers were cancelled before they closed their StreamWriter ('Event loop is closed'): 4 to 6 warnings a run.

Change: these handlers close in a finally.

Ruled out: load by itself; it only moves the moment of a collection.

--- a/cowsliploom/dataplane/tests/test_dataplane.py
+++ b/cowsliploom/dataplane/tests/test_dataplane.py
@@ -165,7 +165,8 @@
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closes = True
-        writer.close()
+        finally:
+            writer.close()
 
 
 async def call(pool, is_own=bool, timeout_s=1.0):
@@ -358,7 +359,8 @@
                 seen.set_result('closed')
             except ConnectionResetError:
                 seen.set_result('reset')
-            writer.close()
+            finally:
+                writer.close()
 
         arrived = asyncio.Event()
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
--- a/cowsliploom/dataplane/tests/test_endless_answers.py
+++ b/cowsliploom/dataplane/tests/test_endless_answers.py
@@ -65,7 +65,8 @@
                 await asyncio.sleep(self.pause_s)
         except ConnectionError:
             self.ended.set()
-        writer.close()
+        finally:
+            writer.close()
 
 
 def run_call(endless_of, script):
