Move what a call and its result are out of the client's connections

HttpCall, HttpAnswer and HttpFailure stand in a module of their own; a call knows of its connection only that it can be closed. No behaviour changes; the tests of the package and of the gateway pass as they were.

--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -5,11 +5,11 @@
 from cowsliploom.dataplane._frames import open_frames as open_frames
 
 from cowsliploom.dataplane._bounds import AnswerBounds as AnswerBounds
-from cowsliploom.dataplane._client import CallResult as CallResult
 from cowsliploom.dataplane._client import ConnectionPool as ConnectionPool
-from cowsliploom.dataplane._client import HttpAnswer as HttpAnswer
-from cowsliploom.dataplane._client import HttpCall as HttpCall
-from cowsliploom.dataplane._client import HttpFailure as HttpFailure
+from cowsliploom.dataplane._http_calls import CallResult as CallResult
+from cowsliploom.dataplane._http_calls import HttpAnswer as HttpAnswer
+from cowsliploom.dataplane._http_calls import HttpCall as HttpCall
+from cowsliploom.dataplane._http_calls import HttpFailure as HttpFailure
 from cowsliploom.dataplane._pools import ConnectionPools as ConnectionPools
 from cowsliploom.dataplane._server import HttpListener as HttpListener
 from cowsliploom.dataplane._server import HttpRequest as HttpRequest
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 connections to servers on the event loop, kept and used again."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from typing import cast
@@ -9,6 +8,12 @@
 import httptools
 
 from cowsliploom.dataplane._bounds import AnswerBounds, AnswerMeter
+from cowsliploom.dataplane._http_calls import (
+    CallResult,
+    HttpAnswer,
+    HttpCall,
+    HttpFailure,
+)
 from cowsliploom.dataplane._sockets import (
     HeaderList,
     end_when_silent,
@@ -27,80 +32,6 @@
 BODILESS_STATUSES = frozenset((204, 304))  # a length there announces no body
 
 
-@dataclass(frozen=True, slots=True)
-class HttpAnswer:
-    """Hold a server's whole answer."""
-
-    status: int
-    headers: HeaderList
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class HttpFailure:
-    """Report a call that got no whole answer.
-
-    Parameters
-    ----------
-    step : CallStep
-        At which step.
-    peer : str
-        Address of the server.
-    reason : str
-        What was seen.
-    may_have_run : bool
-        False only when no byte of the request was sent.
-    """
-
-    step: CallStep
-    peer: str
-    reason: str
-    may_have_run: bool
-
-
-CallResult = HttpAnswer | HttpFailure
-
-
-class HttpCall:
-    """Hold one call: what is sent, and who hears of its end.
-
-    Parameters
-    ----------
-    content : bytes
-        Whole request as it is sent.
-    on_result : callable
-        Called once with the answer or the failure; never after a drop.
-    is_own : callable
-        Tells whether an answer belongs to this call; others are passed over.
-    """
-
-    def __init__(
-        self,
-        content: bytes,
-        on_result: Callable[[CallResult], None],
-        is_own: Callable[[HttpAnswer], bool] = bool,
-    ) -> None:
-        self.content = content
-        self.on_result = on_result
-        self.is_own = is_own
-        self.connection: CallConnection | None = None
-        self.is_ended = False
-
-    def end(self, result: CallResult) -> None:
-        """Tell the result, unless the call has ended already."""
-        if not self.is_ended:
-            self.is_ended = True
-            self.connection = None
-            self.on_result(result)
-
-    def drop(self) -> None:
-        """Close the connection of a call whose answer nobody needs."""
-        self.is_ended = True
-        if self.connection is not None:
-            self.connection.abort()
-            self.connection = None
-
-
 @dataclass(frozen=True, slots=True)
 class _Finished:
     """Hold a whole answer until the rest of what came with it is read."""
