--- a/cowsliploom/forwarding/tests/budget_world.py
+++ b/cowsliploom/forwarding/tests/budget_world.py
@@ -69,6 +69,7 @@
 
     def __init__(self, names, share_of: Callable[[Entry], float] = divided_share):
         self.now_ms = 0
+        self.is_calm = False  # no call fails, so that none is sent again
         self.share_of = share_of
         self.entries = {name: Entry(name, names, 0) for name in names}
         self.requests: list[float] = []
@@ -100,7 +101,10 @@
         self.entries.pop(name)
 
     def step(self, requests=1):
-        """Let time pass: hear others, get requests, send all that is allowed."""
+        """Let time pass: hear others, get requests, send all that is allowed.
+
+        Requests to those that do not run come to the others.
+        """
         self.now_ms += STEP_MS
         running = [entry for entry in self.entries.values() if entry.runs(self.now_ms)]
         for entry in running:
@@ -108,8 +112,10 @@
         if self.now_ms % GOSSIP_MS == 0:
             self._hear(running)
         if self.now_ms > SETTLED_MS:
+            for number in range(requests * len(self.entries) if running else 0):
+                self._earn(running[number % len(running)])
             for entry in running:
-                self._serve(entry, requests)
+                self._spend(entry)
 
     def run(self, for_ms, requests=1):
         """Let time pass in steps."""
@@ -139,12 +145,13 @@
             names = (member.name for member in entry.known.remembered())
             entry.share.hear(names, self.now_ms)
 
-    def _serve(self, entry, requests):
-        for _ in range(requests):
-            entry.budget.earn(self.now_ms)
-            self.requests.append(self.now_ms)
+    def _earn(self, entry):
+        entry.budget.earn(self.now_ms)
+        self.requests.append(self.now_ms)
+
+    def _spend(self, entry):
         share = self.share_of(entry)
-        while entry.budget.may_spend(self.now_ms, share):
+        while not self.is_calm and entry.budget.may_spend(self.now_ms, share):
             entry.budget.spend(self.now_ms)
             self.extra.append(self.now_ms)
 
--- a/cowsliploom/forwarding/tests/test_budget_of_fleet.py
+++ b/cowsliploom/forwarding/tests/test_budget_of_fleet.py
@@ -97,6 +97,33 @@
     world.run(15_000)
 
 
+def kill_soon(world, names):
+    """Kill some as soon as they have spent what the calm has left them."""
+    world.run(1000)
+    for name in names:
+        world.kill(name)
+    world.run(12_000)
+
+
+def kill_all_soon(world):
+    """Kill all processes."""
+    kill_soon(world, NAMES)
+
+
+def kill_some_soon(world):
+    """Kill four of the seven."""
+    kill_soon(world, NAMES[:4])
+
+
+def move_requests_soon(world):
+    """Let all requests come to others than those that have spent."""
+    world.run(1000)
+    for name in NAMES[:4]:
+        world.freeze(name, 15_000)
+    world.run(12_000)
+
+
+AFTER_CALM = (kill_all_soon, kill_some_soon, move_requests_soon)
 CASES = (
     kill_all_twice,
     restart_in_turn,
@@ -111,10 +138,13 @@
 )
 
 
-def play(case, **changes):
-    """Play a case on a fleet that has served for a while."""
+def play(case, calm_ms=0, **changes):
+    """Play a case on a fleet that has served for a while, first in calm."""
     world = FleetWorld(NAMES, **changes)
-    world.run(SETTLED_MS + 5000)
+    world.is_calm = True
+    world.run(SETTLED_MS + calm_ms)
+    world.is_calm = False
+    world.run(0 if calm_ms else 5000)
     case(world)
     world.run(3000)
     return world
@@ -125,6 +155,12 @@
     assert play(case).excess() <= 0
 
 
+@pytest.mark.parametrize('case', [nothing, *AFTER_CALM])
+def test_what_a_calm_has_saved_is_not_spent_twice(case):
+    """Processes spent what old requests had paid, and others what new ones paid."""
+    assert play(case, calm_ms=15_000).excess() <= 0
+
+
 @pytest.mark.parametrize('case', CASES)
 def test_shares_by_who_is_live_pass_the_bound_in_the_same_cases(case):
     """The control: without these cases the bound holds, so they do the harm."""
--- a/tests/processes/test_extra_calls.py
+++ b/tests/processes/test_extra_calls.py
@@ -18,6 +18,8 @@
 RATIO = 0.2
 CONSTANT = 50
 BURST = 12
+CALM = 60  # requests of each gateway that need no second call
+LONG_WINDOW_S = 12
 SILENT_S = 4.6  # by then a member that says nothing doesn't count as live
 
 
@@ -43,6 +45,12 @@
         self.backend.faults.sheds = True
         self.asked = 0
 
+    async def calm(self, numbers, count=CALM):
+        """Let requests come that need no second call."""
+        self.backend.faults.sheds = False
+        await self.burst(numbers, count)
+        self.backend.faults.sheds = True
+
     async def burst(self, numbers, count=BURST):
         """Let requests come to gateways, at each one after the other."""
         await asyncio.gather(*(self._ask_some(number, count) for number in numbers))
@@ -120,3 +128,26 @@
         assert extras.extra <= extras.allowed
 
     play(tmp_path, script)
+
+
+@pytest.mark.parametrize('befall', [nothing, killed])
+def test_requests_of_a_calm_pay_for_nothing_in_a_later_window(tmp_path, befall):
+    """Their part was spent in the window of the requests that pay for it again."""
+
+    async def script(world):
+        world.window_s = LONG_WINDOW_S
+        await start_all(world)
+        await asyncio.sleep(1.2 * LONG_WINDOW_S)
+        extras = Extras(world.backends['one'])
+        await extras.calm(GATEWAYS)
+        in_calm = extras.asked
+        await asyncio.sleep(0.55 * LONG_WINDOW_S)
+        begun = time.monotonic()
+        await extras.burst(GATEWAYS)
+        await befall(world)
+        await extras.burst(GATEWAYS, CALM - 10)
+        assert time.monotonic() - begun < LONG_WINDOW_S
+        requests = max(in_calm, extras.asked - in_calm)
+        assert extras.extra <= RATIO * requests + CONSTANT
+
+    play(tmp_path, script)
