Pay for an extra call with what requests have earned before it

Cause: a VM might spend the ratio of its requests of the last window at any moment in it, and a constant by whom it knew. So requests paid in two windows: those before a window for calls at its start, those in it for calls at its end, by others or by the successor of a killed process. A bound on the fleet was kept by what each process remembered of itself.

Ruled out: a wrong count of members (seven sharers throughout); kills alone, with nothing saved before them (all cases keep the bound by the old rule without the calm).

Change: tokens. A request earns 0.2 / 1.05 of one, a call takes one, all VMs together save at most 0.8 of the constant, divided among all members heard of in ten minutes; the part of the seeds that was never heard of is left to others. A new process is given a tenth of its part, and the rest after a window. In any span no more is spent than was saved before it, given, and earned in it: nothing has to be remembered.

Each part of the rule has a control.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -1,8 +1,10 @@
 """Forwarding of requests by routes to the backend servers of services; sans-IO."""
 
+from cowsliploom.forwarding._budget import Allowance as Allowance
 from cowsliploom.forwarding._budget import BudgetReport as BudgetReport
 from cowsliploom.forwarding._budget import ExtraBudget as ExtraBudget
 from cowsliploom.forwarding._budgets import BudgetRules as BudgetRules
+from cowsliploom.forwarding._budgets import ConstantShare as ConstantShare
 from cowsliploom.forwarding._budgets import ServiceBudgets as ServiceBudgets
 from cowsliploom.forwarding._call_memory import CallMemory as CallMemory
 from cowsliploom.forwarding._call_memory import SeenCall as SeenCall
@@ -31,8 +33,8 @@
 from cowsliploom.forwarding._messages import RelayedCall as RelayedCall
 from cowsliploom.forwarding._messages import Reply as Reply
 from cowsliploom.forwarding._messages import SendCall as SendCall
-from cowsliploom.forwarding._messages import Ticked as Ticked
 from cowsliploom.forwarding._messages import Stopping as Stopping
+from cowsliploom.forwarding._messages import Ticked as Ticked
 from cowsliploom.forwarding._messages import TurnAway as TurnAway
 from cowsliploom.forwarding._moves import MoveOrder as MoveOrder
 from cowsliploom.forwarding._moves import VersionSplit as VersionSplit
--- a/cowsliploom/forwarding/_budget.py
+++ b/cowsliploom/forwarding/_budget.py
@@ -1,44 +1,29 @@
-"""A budget of extra calls that all entry VMs share, one for each service."""
+"""Tokens for calls beyond the first of a request, for one service at one entry VM."""
 
-from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 
-MEMORY_RATIO = 1.05  # calls count longer than the window, as they arrive later
-
-
-class WindowCount:
-    """Count events of the last ``window_ms``, in slices.
+@dataclass(frozen=True, slots=True)
+class Allowance:
+    """Bound the tokens of one service at one entry VM.
 
     Parameters
     ----------
-    window_ms : float
-        Length of the window, in milliseconds.
-    slices : int
-        Parts in which the window moves on. Default 100.
+    earned : float
+        Tokens that each request earns.
+    given : float
+        Tokens that a new budget begins with.
+    tokens_max : float
+        Tokens that may be saved.
+    is_settled : bool
+        Whether nothing counts any more that an earlier process on this VM has spent.
     """
 
-    def __init__(self, window_ms: float, slices: int = 100) -> None:
-        self.window_ms = window_ms
-        self.slices = slices
-        self._counts: deque[list[float]] = deque()
-        self._sum: float = 0
-
-    def add(self, now_ms: float, amount: float = 1) -> None:
-        """Count an event."""
-        slice_start = now_ms - now_ms % (self.window_ms / self.slices)
-        if self._counts and self._counts[-1][0] >= slice_start:
-            self._counts[-1][1] += amount
-        else:
-            self._counts.append([slice_start, amount])
-        self._sum += amount
-
-    def total(self, now_ms: float) -> float:
-        """Return the number of events in the window."""
-        oldest = now_ms - self.window_ms
-        while self._counts and self._counts[0][0] < oldest:
-            self._sum -= self._counts.popleft()[1]
-        return self._sum
+    earned: float
+    given: float
+    tokens_max: float
+    is_settled: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,22 +34,20 @@
     ----------
     service : str
         Service that is asked.
-    requests : float
-        Requests for it in the window.
-    spent : float
-        Extra calls in the window.
-    allowed : float
-        Extra calls that the window may hold.
+    requests : int
+        Requests for it since the last report.
     sent, denied : int
         Extra calls sent, and works that were denied one, since the last report.
+    tokens, tokens_max : float
+        Extra calls that may be sent now, and that may be saved.
     """
 
     service: str
-    requests: float
-    spent: float
-    allowed: float
+    requests: int
     sent: int
     denied: int
+    tokens: float
+    tokens_max: float
 
 
 class ExtraBudget:
@@ -72,81 +55,81 @@
 
     Parameters
     ----------
-    ratio : float
-        Extra calls for each request, in any window.
-    extra : float
-        Extra calls beyond these, of all entry VMs together.
-    window_ms : float
-        Length of the window.
+    read_allowance : callable
+        Returns the ``Allowance`` that holds now; the same object while none changes.
 
     Notes
     -----
-    Each entry VM pays for its extra calls with ``ratio`` of the requests that it has
-    taken itself, and with its share of ``extra``. Requests and calls of one VM come and
-    go together, so the sum keeps the bound as long as the shares do.
+    An extra call is paid with what requests at this VM have earned before. So all VMs
+    together send in any span no more than its own requests earn, all had saved when it
+    began, and new processes were given. What a lost process had saved is lost.
 
     Examples
     --------
-    >>> budget = ExtraBudget(ratio=0.2, extra=8, window_ms=10_000)
-    >>> budget.may_spend(now_ms=0, share=0.125)
-    True
-    >>> budget.spend(0)
-    >>> budget.may_spend(now_ms=0, share=0.125)
+    >>> allowance = Allowance(earned=0.5, given=0, tokens_max=2, is_settled=True)
+    >>> budget = ExtraBudget(lambda: allowance)
+    >>> budget.earn()
+    >>> budget.may_spend
     False
+    >>> budget.earn()
+    >>> budget.may_spend
+    True
     """
 
-    def __init__(self, ratio: float, extra: float, window_ms: float) -> None:
-        self.ratio = ratio
-        self.extra = extra
-        self.requests = WindowCount(window_ms)
-        self.spent = WindowCount(window_ms * MEMORY_RATIO)
-        self.sent = 0
-        self.denied = 0
-
-    def change(self, ratio: float, extra: float) -> None:
-        """Take other bounds; what was counted stays."""
-        self.ratio = ratio
-        self.extra = extra
+    def __init__(self, read_allowance: Callable[[], Allowance]) -> None:
+        self._read_allowance = read_allowance
+        self._allowance = read_allowance()
+        self._tokens = self._allowance.given
+        self._requests = 0
+        self._sent = 0
+        self._denied = 0
+
+    @property
+    def tokens(self) -> float:
+        """Return how many extra calls may be sent now."""
+        allowance = self._read_allowance()
+        if allowance is not self._allowance:
+            self._take(allowance)
+        return self._tokens
+
+    @property
+    def may_spend(self) -> bool:
+        """Tell whether one more extra call may be sent."""
+        return self.tokens >= 1
 
-    def earn(self, now_ms: float) -> None:
+    def earn(self) -> None:
         """Count a request."""
-        self.requests.add(now_ms)
+        tokens = self.tokens + self._allowance.earned
+        self._tokens = min(tokens, self._allowance.tokens_max)
+        self._requests += 1
 
-    def spend(self, now_ms: float) -> None:
+    def spend(self) -> None:
         """Count an extra call."""
-        self.spent.add(now_ms)
-        self.sent += 1
+        self._tokens -= 1
+        self._sent += 1
 
-    def deny(self, now_ms: float, share: float) -> str:
+    def deny(self) -> str:
         """Count a work that was denied an extra call; return the figures."""
-        self.denied += 1
-        spent = self.spent.total(now_ms)
-        return f'extra calls used up: {spent:g} of {self.allowed(now_ms, share):.1f}'
-
-    def allowed(self, now_ms: float, share: float) -> float:
-        """Return how many extra calls the window may hold."""
-        return self.ratio * self.requests.total(now_ms) + self.extra * share
-
-    def left(self, now_ms: float, share: float) -> float:
-        """Return how many extra calls may still be sent now."""
-        return self.allowed(now_ms, share) - self.spent.total(now_ms)
-
-    def may_spend(self, now_ms: float, share: float) -> bool:
-        """Tell whether one more extra call may be sent."""
-        return self.left(now_ms, share) >= 1
+        self._denied += 1
+        saved = f'{self.tokens:.1f} of {self._allowance.tokens_max:.1f} saved'
+        return f'extra calls used up: {saved}, {self._allowance.earned:.2f} a request'
 
-    def report(self, service: str, now_ms: float, share: float) -> BudgetReport | None:
+    def report(self, service: str) -> BudgetReport | None:
         """Return what was decided since the last report; None for nothing."""
-        if not (self.sent or self.denied):
+        requests, sent, denied = self._requests, self._sent, self._denied
+        if not (sent or denied):
             return None
-        report = BudgetReport(
-            service,
-            self.requests.total(now_ms),
-            self.spent.total(now_ms),
-            round(self.allowed(now_ms, share), 1),
-            self.sent,
-            self.denied,
-        )
-        self.sent = 0
-        self.denied = 0
-        return report
+        self._requests = 0
+        self._sent = 0
+        self._denied = 0
+        tokens = round(self.tokens, 1)
+        tokens_max = round(self._allowance.tokens_max, 1)
+        return BudgetReport(service, requests, sent, denied, tokens, tokens_max)
+
+    def _take(self, allowance: Allowance) -> None:
+        known = self._allowance
+        if allowance.is_settled and not known.is_settled:
+            # What may be saved from now on is there at once; the rest was there before.
+            self._tokens += max(0, allowance.tokens_max - known.tokens_max)
+        self._tokens = min(self._tokens, allowance.tokens_max)
+        self._allowance = allowance
--- a/cowsliploom/forwarding/_desk.py
+++ b/cowsliploom/forwarding/_desk.py
@@ -123,7 +123,7 @@
             return self._without_route(request.arrived_ms)
         works = self._works(route)
         for work in works:
-            work.budget.earn(request.arrived_ms)
+            work.budget.earn()
         shares = self._shares(route, request.arrived_ms)
         return Exchange(self, request, route, works, shares)
 
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from cowsliploom.forwarding._budgets import ServiceBudgets
 from cowsliploom.forwarding._call_memory import CallMemory
 from cowsliploom.forwarding._fleet import CallLimits, Fleet
 from cowsliploom.forwarding._latency import RecentLatency
@@ -46,11 +45,6 @@
     fleet: Fleet
     calls: CallMemory
 
-    @property
-    def budgets(self) -> ServiceBudgets:
-        """Return the budgets of extra calls."""
-        ...
-
     @property
     def lateness_ms(self) -> float:
         """Return how late this process usually comes to what is due."""
@@ -285,20 +279,19 @@
         """Send a work's call once more, where that is allowed."""
         if not work.is_open or self.reply is not None or self.is_left:
             return
-        obstacle = self._obstacle(work, now_ms)
+        obstacle = self._obstacle(work)
         if obstacle:
             work.end_unless_open(obstacle)
         else:
             yield from self._send(work, now_ms)
 
-    def _obstacle(self, work: Work, now_ms: float) -> str:
+    def _obstacle(self, work: Work) -> str:
         """Return what forbids one more call, if anything."""
         runs_once = work.may_have_run and not self.route.repeatable
         if runs_once or not work.may_send_again(self.route.attempts_max):
             return 'attempts used up'
-        share = self._desk.budgets.constant_share
-        if work.sends and not work.budget.may_spend(now_ms, share):
-            work.deny(now_ms, share)
+        if work.sends and not work.budget.may_spend:
+            work.deny()
             return 'budget of extra calls used up'
         return ''
 
@@ -312,7 +305,7 @@
             return
         is_hedge = bool(work.open)
         if work.sends:
-            work.budget.spend(now_ms)
+            work.budget.spend()
             self.hedges += is_hedge
             self.retries += not is_hedge
         call_id = self._desk.next_call_id()
--- a/cowsliploom/forwarding/_work.py
+++ b/cowsliploom/forwarding/_work.py
@@ -108,10 +108,10 @@
         if not rejected:
             self.sends -= 1
 
-    def deny(self, now_ms: float, share: float) -> None:
+    def deny(self) -> None:
         """Note that the budget denies an extra call, once for the request."""
         if not self.denied_by:
-            self.denied_by = self.budget.deny(now_ms, share)
+            self.denied_by = self.budget.deny()
 
     def may_send_again(self, attempts_max: int) -> bool:
         """Tell whether the bounds on attempts allow one more call."""
--- a/cowsliploom/gateway/_budget_log.py
+++ b/cowsliploom/gateway/_budget_log.py
@@ -44,7 +44,7 @@
         if now_ms - self._told_ms < REPORT_MS:
             return
         self._told_ms = now_ms
-        reports = sorted(self._budgets.reports(now_ms), key=_urgency)
+        reports = sorted(self._budgets.reports(), key=_urgency)
         self._figures.count('extra_calls', sum(one.sent for one in reports))
         self._figures.count('extra_calls_denied', sum(one.denied for one in reports))
         for report in reports[:LINES_MAX]:
@@ -56,14 +56,13 @@
             'used',
             service=report.service,
             requests=report.requests,
-            spent=report.spent,
-            allowed=report.allowed,
             sent=report.sent,
             denied=report.denied,
-            constant_share=round(self._budgets.constant_share, 4),
+            tokens=report.tokens,
+            tokens_max=report.tokens_max,
             services=services,
         )
 
 
 def _urgency(report: BudgetReport) -> tuple[int, float, str]:
-    return -report.denied, -report.spent, report.service
+    return -report.denied, -report.sent, report.service
--- a/cowsliploom/gateway/_budget_share.py
+++ b/cowsliploom/gateway/_budget_share.py
@@ -1,8 +1,8 @@
-"""Reads the share of the constant part of the budgets that this VM may use."""
+"""Reads the share of the constant part of the budgets that this VM may have saved."""
 
 from collections.abc import Callable
 
-from cowsliploom.forwarding import ServiceBudgets
+from cowsliploom.forwarding import ConstantShare, ServiceBudgets
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.members import Acquaintances, FleetShare
 
@@ -35,31 +35,35 @@
         self._budgets = budgets
         self._log = log
         self._now_ms = now_ms
-        self._share = FleetShare(known.own.name, now_ms())
+        self._started_ms = now_ms()
+        self._fleet_share = FleetShare(known.own)
         self._looked_ms = float('-inf')
-        self._of_bound: float = 0
+        self._constant = ConstantShare()
 
-    def read(self) -> float:
-        """Return the share by who is spoken of now, from 0 to 1."""
+    def read(self) -> ConstantShare:
+        """Return the share by who is spoken of now."""
         now_ms = self._now_ms()
         if now_ms - self._looked_ms >= LOOK_MS:
             self._looked_ms = now_ms
             self._look(now_ms)
-        return self._of_bound
+        return self._constant
 
     def _look(self, now_ms: float) -> None:
-        known, share = self._known, self._share
-        share.hear((member.name for member in known.remembered()), now_ms)
-        others_min = len(set(known.seeds) - {known.own.address})
-        memory_ms = self._budgets.rules.memory_ms
-        of_bound = share.of_bound(now_ms, memory_ms, others_min)
-        if of_bound == self._of_bound:
+        seeds = self._known.seeds
+        self._fleet_share.hear(self._known.remembered(), now_ms)
+        constant = ConstantShare(
+            self._fleet_share.of_bound(seeds),
+            is_settled=now_ms - self._started_ms >= self._budgets.rules.memory_ms,
+        )
+        if constant == self._constant:
             return
-        self._of_bound = of_bound
+        self._constant = constant
         self._log.write(
             'budget',
             'share changed',
-            constant_share=round(of_bound, 4),
-            counted=share.counted(others_min),
-            live=len(known.live(now_ms)),
+            constant_share=round(constant.share, 4),
+            settled=constant.is_settled,
+            counted=self._fleet_share.counted(seeds),
+            seeds_met=round(self._fleet_share.met(seeds), 2),
+            live=len(self._known.live(now_ms)),
         )
--- a/cowsliploom/members/_fleet_share.py
+++ b/cowsliploom/members/_fleet_share.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-DIVIDED = 0.4  # of the bound; two groups that are cut from each other use it twice
-DIVIDED_ANEW = 0.1  # among processes that have just started; they may do so often
+from cowsliploom.members._members import Member
+
 COUNTED_MS = 600_000.0  # silent members may be cut off, not gone, and use their share
 
 
@@ -12,68 +12,65 @@
 
     Parameters
     ----------
-    own_name : str
+    own : Member
         This member; it keeps its name when its process starts again.
-    started_ms : float
-        When the process started, by its steady clock.
 
     Notes
     -----
     The sum over all members keeps the bound because nothing that a member sees others
     do raises its share. A silent member is counted on, as it may be cut off or frozen.
-    A process that starts uses little until what its predecessor has used no longer
-    counts; by then all members that it reaches count it. The sum keeps the bound if
-    all start up to six times within ``memory_ms``, or in two groups that have never
-    heard of each other and start twice.
+    Groups that have never heard of each other can't count each other. They divide the
+    bound by the seeds, which all have in common: each group uses the part of the seeds
+    that it has heard of.
 
     Examples
     --------
-    >>> share = FleetShare('a', started_ms=0)
-    >>> share.hear(('b', 'c', 'd', 'e'), now_ms=1000)
-    >>> share.of_bound(now_ms=2000, memory_ms=10_000)
-    0.02
-    >>> share.of_bound(now_ms=10_000, memory_ms=10_000)
-    0.08
+    >>> share = FleetShare(Member('a', 'a:1', 'de'))
+    >>> share.hear((Member('b', 'b:1', 'de'), Member('c', 'c:1', 'de')), now_ms=0)
+    >>> round(share.of_bound(seeds=('a:1', 'b:1')), 2)
+    0.33
+    >>> round(share.of_bound(seeds=('a:1', 'd:1')), 2)
+    0.17
     """
 
-    def __init__(self, own_name: str, started_ms: float) -> None:
-        self._own_name = own_name
-        self._started_ms = started_ms
+    def __init__(self, own: Member) -> None:
+        self._own = own
         self._heard_ms: dict[str, float] = {}
+        self._met = {own.address}
 
-    def hear(self, names: Iterable[str], now_ms: float) -> None:
+    def hear(self, members: Iterable[Member], now_ms: float) -> None:
         """Count members that are spoken of."""
-        self._heard_ms.update((name, now_ms) for name in names)
-        self._heard_ms.pop(self._own_name, None)
+        for member in members:
+            self._heard_ms[member.name] = now_ms
+            self._met.add(member.address)
+        self._heard_ms.pop(self._own.name, None)
         self._heard_ms = {
             name: heard_ms
             for name, heard_ms in self._heard_ms.items()
             if now_ms - heard_ms <= COUNTED_MS
         }
 
-    def counted(self, others_min: int = 0) -> int:
+    def met(self, seeds: Iterable[str]) -> float:
+        """Return the part of the seeds that was heard of, from 0 to 1."""
+        addresses = set(seeds) or {self._own.address}
+        return len(addresses & self._met) / len(addresses)
+
+    def counted(self, seeds: Iterable[str]) -> int:
         """Return how many members the bound is divided among."""
-        return max(len(self._heard_ms), others_min) + 1
+        others = set(seeds) - {self._own.address}
+        return max(len(self._heard_ms), len(others)) + 1
 
-    def of_bound(self, now_ms: float, memory_ms: float, others_min: int = 1) -> float:
-        """Return the share of the bound that this member may use now.
+    def of_bound(self, seeds: Iterable[str]) -> float:
+        """Return the share of the bound that this member may use.
 
         Parameters
         ----------
-        now_ms : float
-            Time by the own steady clock.
-        memory_ms : float
-            How long use counts towards the bound.
-        others_min : int
-            Other members that there may be though none was heard of.
+        seeds : iterable of str
+            Peer addresses that all members are given; they may be stale.
 
         Returns
         -------
         float
-            From 0 to 1, without unit. 0 while none of the others was heard of.
+            From 0 to 1, without unit.
         """
-        if others_min and not self._heard_ms:
-            return 0
-        is_new = now_ms - self._started_ms < memory_ms
-        divided = DIVIDED_ANEW if is_new else DIVIDED
-        return divided / self.counted(others_min)
+        return self.met(seeds) / self.counted(seeds)
