Hedge no search at an old server once all traffic has moved

Cause: at the whole share an old server was asked when no new one was left that the search had not been sent to. So a search that both new servers were slow with was hedged at an old one, which may be gone by then.

Change: once all has moved, old servers are asked only where no new one can be, for hedges, retries and for what may be waited for alike.

Ruled out: nothing else was traced by logs; those of the failed run were gone.

--- a/cowsliploom/routing/_choice.py
+++ b/cowsliploom/routing/_choice.py
@@ -32,8 +32,6 @@
         newer = [server for server in ready if server.version == move.to_version]
         if newer and move.allows_new:
             return self._cheapest(newer, service.typical_ms, now_ms)
-        if move.share >= 1 and self._awaits_new(work, now_ms):
-            return None
         older = [server for server in ready if server.version != move.to_version]
         return self._cheapest(older, service.typical_ms, now_ms)
 
@@ -47,11 +45,8 @@
         """Tell whether a server of the service may answer, now or when it has room."""
         move = service.move
         return any(
-            server.is_reachable(now_ms)
-            and server.name not in tried
-            and (snapshot is None or self.table.holds(server.name, snapshot))
-            and (move is None or move.admits(server.version))
-            for server in service.servers
+            server.name not in tried and (move is None or move.admits(server.version))
+            for server in self._usable(service, snapshot, now_ms)
         )
 
     def can_answer(self, service: ServiceTrack, snapshot: int, now_ms: float) -> bool:
@@ -65,28 +60,33 @@
         )
 
     def _list_ready(self, work: Work, now_ms: float, spare: int) -> list[ServerTrack]:
-        snapshot = work.snapshot
-        typical_ms = work.service.typical_ms
+        service = work.service
         fresh_ms = self._context.settings.load_fresh_ms
-        holds = self.table.holds
         return [
             server
-            for server in work.service.servers
-            if server.is_reachable(now_ms)
-            and server.has_room(now_ms, typical_ms, fresh_ms, spare)
+            for server in self._usable(service, work.snapshot, now_ms)
+            if server.has_room(now_ms, service.typical_ms, fresh_ms, spare)
             and server.name not in work.tried
-            and (snapshot is None or holds(server.name, snapshot))
         ]
 
-    def _awaits_new(self, work: Work, now_ms: float) -> bool:
-        """Tell whether a server of the new version may answer later."""
-        move = work.service.move
-        return move is not None and any(
-            server.version == move.to_version
-            and server.is_reachable(now_ms)
-            and server.name not in work.tried
-            for server in work.service.servers
-        )
+    def _usable(
+        self, service: ServiceTrack, snapshot: int | None, now_ms: float
+    ) -> list[ServerTrack]:
+        """Return the servers that may be asked; once all has moved, only new ones.
+
+        Old ones are asked after that only where no new one can be.
+        """
+        usable = [
+            server
+            for server in service.servers
+            if server.is_reachable(now_ms)
+            and (snapshot is None or self.table.holds(server.name, snapshot))
+        ]
+        move = service.move
+        if move is None or move.share < 1:
+            return usable
+        newer = [server for server in usable if server.version == move.to_version]
+        return newer or usable
 
     def _cheapest(
         self, ready: Iterable[ServerTrack], typical_ms: float, now_ms: float
--- a/cowsliploom/routing/tests/test_servers.py
+++ b/cowsliploom/routing/tests/test_servers.py
@@ -96,10 +96,23 @@
     driver.give(SharesChanged(driver.now_ms, shares))
 
 
+NEW_SERVERS = frozenset(('s0r0', 's0r1'))
+
+
+def servers_asked(driver):
+    """Return the servers that got a search."""
+    return {send.server for send in driver.all(SendSearch)}
+
+
 def versioned(**options):
     """Start with the new version in the own data centre, where it is preferred."""
-    driver = Driver(services=1, versions=('v2', 'v1'), **options)
-    for replica, version in enumerate(('v2', 'v1')):
+    return with_versions(('v2', 'v1'), **options)
+
+
+def with_versions(versions, **options):
+    """Start with servers of these versions."""
+    driver = Driver(services=1, versions=versions, **options)
+    for replica, version in enumerate(versions):
         report = samples.make_health(0, replica, 1, version=version)
         driver.give(HealthReported(driver.now_ms, report.server, report))
     return driver
@@ -155,6 +168,39 @@
     assert not servers_of(driver, 30)['s0r1']
 
 
+@pytest.mark.parametrize('versions', [('v2', 'v1'), ('v2', 'v2', 'v1', 'v1')])
+def test_a_slow_search_is_not_hedged_at_an_old_server_once_all_has_moved(versions):
+    """The old servers got a search after the end of a move."""
+    driver = with_versions(versions, replicas=len(versions))
+    old = {f's0r{place}' for place, one in enumerate(versions) if one == 'v1'}
+    move(driver, 1)
+    for number in range(30):
+        (send,) = driver.ask(f'quick-{number}').values()
+        driver.reply(send, 0.2, version='v2')
+    assert not servers_asked(driver) & old
+    driver.commands.clear()
+    driver.ask('slow')
+    for _ in range(30):
+        driver.tick(3)
+    assert not servers_asked(driver) & old
+    assert len(driver.all(SendSearch)) > 1
+
+
+@pytest.mark.parametrize('is_new_lost', [False, True])
+def test_old_servers_get_a_failed_search_only_if_no_new_one_is_there(is_new_lost):
+    driver = with_versions(('v2', 'v2', 'v1'), replicas=3)
+    move(driver, 1)
+    if is_new_lost:
+        driver.give(ServersLeaving(driver.now_ms, NEW_SERVERS))
+    open_calls = list(driver.ask('failing').values())
+    while open_calls:
+        send = open_calls.pop()
+        again = driver.refuse(send, RefusalReason.FAILED, Ran.UNKNOWN, version='v2')
+        open_calls.extend(only(again, SendSearch))
+    assert ('s0r2' in servers_asked(driver)) == is_new_lost
+    assert driver.answer or driver.refusal
+
+
 def test_versions_without_a_move_serve_as_usual():
     assert set(servers_of(versioned())) == {'s0r0'}
 
