Let the soak count extra calls and requests that are left without an answer

Cause: the soak saw all arrivals at servers and all answers to callers, but checked neither the sum of extra calls of a service in any window nor that what was passed on is answered in a planned stop.

Change: two promises, each with a table of what it has to notice; the sum is counted by one function with the simulated fleet. The soak's constant is 12, not 50, so that it binds.

--- a/cowsliploom/forwarding/tests/budget_world.py
+++ b/cowsliploom/forwarding/tests/budget_world.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cowsliploom.forwarding import BudgetRules, ConstantShare, ServiceBudgets
+from cowsliploom.forwarding.tests.extra_calls import ExtraBound
 from cowsliploom.members import Acquaintances, FleetShare, Member, Sighting
 
 RATIO = 0.2
@@ -15,6 +16,7 @@
 LATE_MS = 500  # an extra call arrives up to so much after it was sent
 SETTLED_MS = 12_000  # traffic begins this long after the processes
 RULES = BudgetRules(RATIO, CONSTANT, WINDOW_MS)
+BOUND = ExtraBound(RATIO, CONSTANT, WINDOW_MS)
 
 
 def divided_share(entry):
@@ -195,14 +197,11 @@
 
     def excess(self):
         """Return by how much the worst window passes the bound; negative if none."""
-        return max(
-            (self._excess_from(start_ms) for start_ms in sorted(set(self.extra))),
-            default=-CONSTANT,
-        )
+        return BOUND.excess(self.requests, self.extra)
 
     def most_extra(self):
         """Return the most extra calls in a window."""
-        return max(self._count(self.extra, start_ms) for start_ms in set(self.extra))
+        return BOUND.most(self.extra)
 
     def _hear(self, running):
         for entry in running:
@@ -223,14 +222,3 @@
         while not self.is_calm and entry.budget.may_spend:
             entry.budget.spend()
             self.extra.append(self.now_ms + self._lateness.choice((0, LATE_MS)))
-
-    def _excess_from(self, start_ms):
-        requests = max(
-            self._count(self.requests, start_ms - earlier_ms)
-            for earlier_ms in (0, WINDOW_MS / 2, WINDOW_MS)
-        )
-        allowed = RATIO * requests + CONSTANT
-        return self._count(self.extra, start_ms) - allowed
-
-    def _count(self, moments, start_ms):
-        return sum(start_ms <= at < start_ms + WINDOW_MS for at in moments)
--- a/tests/processes/gateway_world.py
+++ b/tests/processes/gateway_world.py
@@ -58,7 +58,7 @@
     )
 
 
-def settings(number, store_address, seeds, window_s=10):
+def settings(number, store_address, seeds, window_s=10, constant=50):
     """Return the text of a gateway's settings file."""
     host = f'{PLACE}.{number}'
     return '\n'.join(
@@ -72,7 +72,7 @@
             f'platform.address={store_address}',
             f'seeds={seeds}',
             'bounds.retryBudgetRatio=0.2',
-            'bounds.retryBudgetExtra=50',
+            f'bounds.retryBudgetExtra={constant}',
             f'bounds.retryWindowS={window_s}',
             'bounds.graceS=4',
         )
@@ -80,11 +80,11 @@
 
 
 async def start_gateway(
-    folder, number, store_address, seeds, module='cowsliploom.gateway', window_s=10
+    folder, number, store_address, seeds, module='cowsliploom.gateway', **bounds
 ):
-    """Start a gateway's process; a log that is there goes on."""
+    """Start a gateway's process, with bounds; a log that is there goes on."""
     path = folder / f'vm-{number}.conf'
-    path.write_text(settings(number, store_address, seeds, window_s))
+    path.write_text(settings(number, store_address, seeds, **bounds))
     with (folder / f'vm-{number}.log').open('ab') as log:
         return await asyncio.create_subprocess_exec(
             sys.executable,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,10 +3,11 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from cowsliploom.forwarding.tests.extra_calls import extra_arrivals
 from tests.soak.backends import RECORD_BYTES, records_of
 from tests.soak.callers import PATIENCE_MS, Told
 from tests.soak.touch import Touch
-from tests.soak.world import COVERAGE_MIN, RECORDS_MAX, SHARDS, SoakWorld
+from tests.soak.world import BOUND, COVERAGE_MIN, RECORDS_MAX, SHARDS, SoakWorld
 
 OK = 200
 REFUSALS = frozenset((408, 421, 429, 503))
@@ -23,15 +24,50 @@
         for backend in world.backends.values()
         for request_id in backend.ran
     )
+    reached = {
+        request_id
+        for backend in world.backends.values()
+        for _, request_id in backend.arrived_ids
+    }
     for each in told:
+        if each.request_id in reached:
+            yield from _is_answered(each, touch)
         yield from _answer_is_true(each)
         yield from _ran_as_told(each, runs)
         yield from _answered_in_time(each, touch)
+    for service in (*SHARDS, 'one'):
+        yield from _extra_calls_are_bounded(service, world, told)
     for (service, request_id), count in runs.items():
         if count > ATTEMPTS_MAX:
             yield f'{request_id} ran {count} times on servers of {service}'
 
 
+def _extra_calls_are_bounded(
+    service: str, world: SoakWorld, told: list[Told]
+) -> Iterator[str]:
+    arrivals = [
+        arrival
+        for backend in world.backends.values()
+        if backend.service == service
+        for arrival in backend.arrived_ids
+        if arrival[1]
+    ]
+    asked = [
+        each.sent_s for each in told if (each.route == 'wide') == (service in SHARDS)
+    ]
+    excess = BOUND.excess(asked, extra_arrivals(arrivals))
+    if excess > 0:
+        yield f'{service} got {excess:.1f} extra calls more than its bound'
+
+
+def _is_answered(told: Told, touch: Touch) -> Iterator[str]:
+    """Check that a request that was passed on isn't cut, in a planned stop either."""
+    until_s = told.sent_s + told.took_s
+    is_calm = touch.is_calm_but_for_stops(told.gateway, told.sent_s, until_s)
+    if told.answer is None and is_calm:
+        yield f'{told.request_id} ({told.route}) was passed on and had no answer'
+
+
 def _answer_is_true(told: Told) -> Iterator[str]:
     """Check that a success is the servers' own, whole and for this request."""
     if told.status in OWN_DENIALS:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -30,9 +30,10 @@
 class Ran:
     """Stand in for a backend server."""
 
-    def __init__(self, service, ids):
+    def __init__(self, service, ids, arrived=()):
         self.service = service
         self.ran = ids
+        self.arrived_ids = list(arrived)
 
 
 def answered(route, status, headers=(), body=b'', took_s=0.1, request_id='r-1'):
@@ -88,6 +89,38 @@
     assert expected in seen
 
 
+@pytest.mark.parametrize(
+    ('extra', 'apart_s', 'expected'),
+    [(12, 0, ''), (13, 0, 's1 got 0.8 extra calls'), (24, 11, '')],
+)
+def test_extra_calls_beyond_their_sum_are_noticed(extra, apart_s, expected):
+    calls = [(100 + apart_s * (number % 2), 'r-1') for number in range(extra)]
+    servers = Servers()
+    servers.backends = {'a': Ran('s1', (), [(99.9, 'r-1'), *calls])}
+    told = [gathered(ALL, 0)]
+    seen = ' | '.join(broken(servers, told, Touch()))
+    assert expected in seen
+    assert bool(seen) is bool(expected)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'arrived', 'is_broken'),
+    [
+        (Kind.STOP, 'r-1', True),
+        (Kind.STOP, 'r-2', False),
+        (Kind.KILL, 'r-1', False),
+    ],
+)
+def test_a_request_that_is_cut_in_a_planned_stop_is_noticed(kind, arrived, is_broken):
+    touch = Touch()
+    touch.note(Fault(0, kind, 2, 'one-0', 1), 99, 104)
+    servers = Servers()
+    servers.backends = {'a': Ran('one', (), [(100, arrived)])}
+    told = [Told('r-1', 'once', 2, 100, 1, None)]
+    seen = ' | '.join(broken(servers, told, touch))
+    assert ('was passed on and had no answer' in seen) == is_broken
+
+
 def test_promises_with_a_time_bound_wait_for_calm():
     touch = Touch()
     touch.note(Fault(0, Kind.PAUSE, 2, 'one-0', 1), 95, 97)
--- a/tests/soak/touch.py
+++ b/tests/soak/touch.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from tests.soak.plan import GATEWAY_KINDS, STORE_KINDS, Fault
+from tests.soak.plan import GATEWAY_KINDS, STORE_KINDS, Fault, Kind
 from tests.soak.world import GATEWAYS
 
 CALM_S = 4.0  # without trouble, before promises with a time bound hold
@@ -36,6 +36,11 @@
         """Tell whether a gateway was without trouble from before a time to another."""
         return not _any_in(self._gateways[gateway], from_s - CALM_S, to_s)
 
+    def is_calm_but_for_stops(self, gateway: int, from_s: float, to_s: float) -> bool:
+        """Tell whether a gateway had no trouble but planned stops."""
+        unplanned = [one for one in self._gateways[gateway] if one.kind != Kind.STOP]
+        return not _any_in(unplanned, from_s - CALM_S, to_s)
+
     def are_all_calm(self, from_s: float, to_s: float) -> bool:
         """Tell whether all gateways were without trouble."""
         return all(self.is_calm(number, from_s, to_s) for number in GATEWAYS)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cowsliploom.forwarding.tests.extra_calls import ExtraBound
 from cowsliploom.standins import UsersStore
 from tests.processes.gateway_world import PLACE, start_gateway
 from tests.soak.backends import SoakBackend
@@ -21,6 +22,7 @@
 COVERAGE_MIN = 0.5
 RESTART_S = 0.3
 GRACE_S = 4
+BOUND = ExtraBound(ratio=0.2, constant=12, window=10)
 
 
 def routes(version: int) -> list[dict[str, object]]:
@@ -116,7 +118,7 @@
         seeds = ','.join(f'{PLACE}.{other}:18102' for other in GATEWAYS)
         store_address = self.store_proxies[number].address
         self.processes[number] = await start_gateway(
-            self.folder, number, store_address, seeds
+            self.folder, number, store_address, seeds, constant=BOUND.constant
         )
 
     async def kill(self, number: int) -> None:
