Answer requests that were read ahead before a stop closes their connection

At the end of the grace one of many shards was passed on and cut: it had arrived in time, but its turn came too late.

Cause: the answer that was due closed the connection, whatever waited behind it; and the time left was counted from a request's arrival.

Change: the last answer on a connection closes it; the time left is counted from the request's turn.

Ruled out for the threaded path: it reads one request at a time.

--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -233,7 +233,8 @@
         """Write the answer of the request that is being answered."""
         if self._current is not request or self.transport is None:
             return False
-        keep = request.keep_alive and not self._server.is_draining
+        is_last = self._server.is_draining and not self._waiting
+        keep = request.keep_alive and not is_last
         self._write(_render(status, headers, body, keep, request.method))
         self._current = None
         self._on_left = None
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -99,7 +99,7 @@
         needed_ms = min(
             route.target_ms * ROOM_RATIO, route.timeout_ms, request.patience_ms
         )
-        return request.arrived_ms + needed_ms > self._stop_ms
+        return self.pools.now_ms() + needed_ms > self._stop_ms
 
     def _reply(
         self,
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -250,3 +250,37 @@
         assert backend.ran == ['taken']
 
     play(tmp_path, script)
+
+
+async def ask_ahead(number, targets):
+    """Send several requests at once on one connection; return all that is heard."""
+    reader, writer = await asyncio.open_connection(f'{PLACE}.{number}', 18100)
+    for place, target in enumerate(targets):
+        writer.write(
+            f'POST {target} HTTP/1.1\r\nHost: h\r\nRequest-Id: p-{place}\r\n'
+            'Deadline: 1400\r\nContent-Length: 0\r\n\r\n'.encode()
+        )
+    heard = await reader.read(-1)
+    writer.close()
+    return heard
+
+
+def test_requests_read_ahead_are_answered_or_refused_at_the_end_of_the_grace(tmp_path):
+    """They were lost with the first one's connection, or passed on and cut."""
+
+    async def script(world):
+        process = await world.gateway(2)
+        await world.ready(2)
+        for backend in world.backends.values():
+            backend.faults.delay_ms = 1300
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(TAKEN_S)
+        heard = await ask_ahead(2, ('/once/x', '/wide/x', '/once/x'))
+        statuses = [int(part[:3]) for part in heard.split(b'HTTP/1.1 ')[1:]]
+        assert statuses[0] in {502, 504}
+        assert statuses[1:] == [503, 503]
+        assert await asyncio.wait_for(process.wait(), 5) == 0
+        ran = {one for backend in world.backends.values() for one in backend.ran}
+        assert ran == {'p-0'}
+
+    play(tmp_path, script)
