Refuse what comes while the last answers of a stop are written

Cause: a process that has nothing open ends its drain early, and then waits 50 ms for the last answers. What was read in it on a new connection was not late by the time of the grace, so it was passed on, and cut when the process ended.

Change: from the end of the drain on all that comes is refused, with 503 and at once.

Ruled out: the balancer, which may send for two seconds and more.

--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -58,7 +58,8 @@
         self._stop_ms = stop_ms
 
     def end_all(self) -> None:
-        """Answer all open requests with what there is, as the process ends."""
+        """Answer all open requests with what there is, and refuse what still comes."""
+        self._stop_ms = self.pools.now_ms()
         for run in tuple(self._runs):
             run.step(Stopping(self.pools.now_ms()))
 
--- /dev/null
+++ b/cowsliploom/gateway/tests/test_forwarder_stopping.py
@@ -0,0 +1,61 @@
+"""A gateway that ends answers what it has taken, and takes nothing more."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from cowsliploom.forwarding.tests.desk_world import make_desk
+from cowsliploom.gateway._calls import ServerPools
+from cowsliploom.gateway._figures import Figures
+from cowsliploom.gateway._forwarder import Forwarder
+from cowsliploom.gateway._request_log import RequestLog
+from cowsliploom.gateway.tests.test_knowledge import Notes, make_knowledge
+
+
+@dataclass
+class Asked:
+    """Stand in for a caller's request."""
+
+    target: str
+    arrived_ms: float
+    method: str = 'GET'
+    headers: tuple[tuple[str, str], ...] = (('Host', 'h'), ('Request-Id', 'r-1'))
+    body: bytes = b''
+    path_ms: float = 0
+    statuses: list[int] = field(default_factory=list)
+
+    def answer(self, status, headers, body):
+        """Note the answer."""
+        self.statuses.append(status)
+
+
+def forwarder_with(sent):
+    """Return a forwarder whose calls go nowhere but into a list."""
+    pools = ServerPools(make_desk())
+    pools.send = lambda server, call: sent.append(call)
+    log = RequestLog(Notes(), Figures(), make_knowledge())
+    return Forwarder(pools, None, log)
+
+
+@pytest.mark.parametrize('target', ['/safe/x', '/once/x', '/wide/x'])
+def test_what_comes_after_the_end_of_the_drain_is_refused(target):
+    """It came on a new connection, was passed on, and cut as the process ended."""
+
+    async def play():
+        sent = []
+        forwarder = forwarder_with(sent)
+        forwarder.stop_at(forwarder.pools.now_ms() + 60_000)
+        early = Asked(target, forwarder.pools.now_ms())
+        forwarder.take(early)
+        calls = len(sent)
+        forwarder.end_all()
+        late = Asked(target, forwarder.pools.now_ms())
+        forwarder.take(late)
+        return early.statuses, calls, late.statuses, len(sent), forwarder.open
+
+    early, calls, late, calls_after, still_open = asyncio.run(play())
+    assert calls > 0
+    assert early == [504]
+    assert late == [503]
+    assert (calls_after, still_open) == (calls, 0)
