Check the end of the drain in fewer pieces

Cause: the new test unpacked more values than the style allows, so that the linter failed. Change: it asserts where the values are.

--- a/cowsliploom/gateway/tests/test_forwarder_stopping.py
+++ b/cowsliploom/gateway/tests/test_forwarder_stopping.py
@@ -48,14 +48,13 @@
         forwarder.stop_at(forwarder.pools.now_ms() + 60_000)
         early = Asked(target, forwarder.pools.now_ms())
         forwarder.take(early)
-        calls = len(sent)
+        assert sent
+        sent.clear()
         forwarder.end_all()
         late = Asked(target, forwarder.pools.now_ms())
         forwarder.take(late)
-        return early.statuses, calls, late.statuses, len(sent), forwarder.open
+        assert (early.statuses, late.statuses) == ([504], [503])
+        assert not sent
+        assert not forwarder.open
 
-    early, calls, late, calls_after, still_open = asyncio.run(play())
-    assert calls > 0
-    assert early == [504]
-    assert late == [503]
-    assert (calls_after, still_open) == (calls, 0)
+    asyncio.run(play())
