Keep a version that turns bad late within its limit at few requests

Cause: a move of 12 s with 11 requests a second expects about 145 requests, and an estimate just above 150 took the shares for up to 1,000, so that a fifth to a third of the calls judged the version while it was bad. It finished at 94% of the time with an e-value of up to 3, and a version in doubt went on receiving requests past its limit until 97% of the time.

Change: the share follows the limit (a tenth and fifty requests) with what was received so far, without the table for up to 150 requests; a version in doubt is rolled back once the limit is used; a move doesn't finish while the tests of its answers have an e-value of 0.5 or more, for at most a quarter of the time longer.

--- a/cowsliploom/gateway/_active_order.py
+++ b/cowsliploom/gateway/_active_order.py
@@ -89,8 +89,9 @@
     except UnreadableError:
         return None
     is_sound = 0 <= state.share <= 1 and 0 <= state.step < STEPS
-    times_ms = (state.started_ms, state.updated_ms)
-    return state if is_sound and all(map(math.isfinite, times_ms)) else None
+    is_sound = is_sound and state.exposed >= 0
+    numbers = (state.started_ms, state.updated_ms, state.exposed)
+    return state if is_sound and all(map(math.isfinite, numbers)) else None
 
 
 def _shifted(state: MoveState, by_ms: float) -> MoveState:
--- a/cowsliploom/rollout/_control_messages.py
+++ b/cowsliploom/rollout/_control_messages.py
@@ -68,6 +68,8 @@
         Moves with some evidence against them; their steps don't end early.
     inconclusive : frozenset of str
         Moves whose tests are inconclusive; their shares aren't raised for now.
+    unproven : frozenset of str
+        Moves that must not finish for now, as the tests don't favour a good version.
     requests : mapping of str to int
         Calls of each move's service counted so far, by move.
     baseline_ms : mapping of str to mapping
@@ -78,6 +80,7 @@
     samples: Mapping[str, int]
     suspects: frozenset[str] = frozenset()
     inconclusive: frozenset[str] = frozenset()
+    unproven: frozenset[str] = frozenset()
     requests: Mapping[str, int] = field(default_factory=dict)
     baseline_ms: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
 
--- a/cowsliploom/rollout/_controller.py
+++ b/cowsliploom/rollout/_controller.py
@@ -36,10 +36,11 @@
     is_step_due,
 )
 from cowsliploom.rollout._states import (
+    exposed_requests,
     first_state,
     next_step,
     rolled_back,
-    rolled_back_if_overdue,
+    rolled_back_in_doubt,
 )
 from cowsliploom.rollout._traffic import Traffic
 
@@ -47,6 +48,7 @@
 FOLLOWER_READ_MS = 10_000  # a candidate that received no state by then reads it
 STALE_SPEC_MS = 10_000  # configurations are in force everywhere sooner than this
 VETOES_MAX = 256  # vetoes kept, also of moves not yet declared
+UNPROVEN_END = 1.25  # of the time given; no version is held for longer as unproven
 CONCLUSIVE_CALLS = 30  # enough for a conclusive test; a bad version may get more
 NOT_COUNTED = -1  # a new controller counts samples from its first tick on
 NO_STATE = MoveState(0, '', MoveStatus.RUNNING, 0, 0, 0, 0, 0)
@@ -320,30 +322,42 @@
             finish_by_ms=move.finish_by_ms,
             samples=step_samples,
         )
-        if self._holds_share(move, state, tick):
-            is_suspect = move.name in tick.suspects
-            return rolled_back_if_overdue(move, state, store_ms) if is_suspect else None
+        given_ms = move.finish_by_ms - state.started_ms
+        exposed = exposed_requests(state, store_ms, given_ms)
+        state = replace(state, exposed=max(exposed, tick.samples.get(move.name, 0)))
+        if self._holds_share(move, state, tick, store_ms):
+            if move.name not in tick.suspects:
+                return None
+            return rolled_back_in_doubt(move, state, self._schedule, store_ms)
         if now_ms < tracked.settled_ms:
             return None
         if is_step_due(progress, store_ms, self._schedule):
             state = replace(state, updated_ms=store_ms)
-            given_ms = move.finish_by_ms - state.started_ms
             requests = tracked.traffic.expected_requests(now_ms, given_ms)
             if requests is not None:
                 state = replace(state, requests=requests)
             return next_step(state, self._schedule)
         return None
 
-    def _holds_share(self, move: Move, state: MoveState, tick: ControllerTick) -> bool:
+    def _holds_share(
+        self, move: Move, state: MoveState, tick: ControllerTick, store_ms: float
+    ) -> bool:
         """Return whether an inconclusive test holds the share.
 
         With few calls the share still grows short of all traffic, as more calls are
         needed for a conclusive test.
         """
+        following = next_step(state, self._schedule)
+        held_until_ms = state.started_ms + UNPROVEN_END * (
+            move.finish_by_ms - state.started_ms
+        )
+        is_unproven = move.name in tick.unproven and store_ms < held_until_ms
+        if is_unproven and following.status is MoveStatus.FINISHED:
+            return True
         if move.name not in tick.inconclusive:
             return False
         has_enough_calls = tick.samples.get(move.name, 0) >= CONCLUSIVE_CALLS
-        reaches_all_traffic = next_step(state, self._schedule).share >= 1
+        reaches_all_traffic = following.share >= 1
         return has_enough_calls or reaches_all_traffic or move.name in tick.suspects
 
     def _rolled_back(self, move: Move, state: MoveState) -> MoveState | None:
--- a/cowsliploom/rollout/_criteria.py
+++ b/cowsliploom/rollout/_criteria.py
@@ -9,6 +9,11 @@
 ATTRIBUTION_WAIT_MS = 2000.0  # after this an unattributed defect is the version's
 
 
+# Kinds tested against fixed rates. The comparing ones may stay undecided for good once
+# the old version gets no more calls.
+ANSWER_KINDS = (DefectKind.FAILED_ANSWERS, DefectKind.SLOW_ANSWERS)
+
+
 @dataclass(frozen=True, slots=True)
 class VetoCriteria:
     """Define which defects are tested and how much evidence is enough.
@@ -26,6 +31,9 @@
         Time to wait for calls that distinguish a bad server from a bad version.
     inconclusive_e_value : float
         Evidence from which the share isn't raised until the version is cleared.
+    unproven_e_value : float
+        Evidence by the answers from which the move doesn't finish until the version is
+        cleared.
     failed_rate_max, slow_rate_max : float
         Allowed rates of failed and of slow answers, whatever the old version does at
         the time.
@@ -40,6 +48,7 @@
     horizon_blocks: int = HORIZON_BLOCKS
     attribution_wait_ms: float = ATTRIBUTION_WAIT_MS
     inconclusive_e_value: float = math.inf
+    unproven_e_value: float = math.inf
     failed_rate_max: float = 1
     slow_rate_max: float = 1
 
@@ -59,6 +68,7 @@
     horizon_blocks=64,
     attribution_wait_ms=500,
     inconclusive_e_value=3,
+    unproven_e_value=0.5,
     failed_rate_max=0.03,
     slow_rate_max=0.12,
 )
--- a/cowsliploom/rollout/_defect_test.py
+++ b/cowsliploom/rollout/_defect_test.py
@@ -141,9 +141,8 @@
                     return None
         return self.current_finding(route)
 
-    def is_inconclusive(self, new_servers: int) -> bool:
-        """Return whether the share must not be raised for now."""
-        e_value_min = self._criteria.inconclusive_e_value
+    def is_in_doubt(self, new_servers: int, e_value_min: float) -> bool:
+        """Return whether there is this much evidence, not only on one server."""
         if self.e_value < e_value_min:
             return False
         return (
@@ -221,9 +220,13 @@
         """Return the most evidence of any kind of defect."""
         return max(test.e_value for test in self._tests.values())
 
-    def is_inconclusive(self, new_servers: int) -> bool:
-        """Return whether the share must not be raised for now."""
-        return any(test.is_inconclusive(new_servers) for test in self._tests.values())
+    def is_in_doubt(
+        self, new_servers: int, e_value_min: float, kinds: Iterable[DefectKind]
+    ) -> bool:
+        """Return whether a test has this much evidence, not only on one server."""
+        return any(
+            self._tests[kind].is_in_doubt(new_servers, e_value_min) for kind in kinds
+        )
 
     def strongest_finding(self) -> Finding:
         """Return the finding with the most evidence."""
--- a/cowsliploom/rollout/_judge.py
+++ b/cowsliploom/rollout/_judge.py
@@ -201,6 +201,14 @@
             if not case.is_closed and case.trial.is_inconclusive()
         )
 
+    def unproven(self) -> frozenset[str]:
+        """Return the moves that must not finish for now."""
+        return frozenset(
+            name
+            for name, case in self._cases.items()
+            if not case.is_closed and case.trial.is_unproven()
+        )
+
     def strongest_finding(self, move: str) -> Finding | None:
         """Return the finding on a move with the most evidence so far, if any."""
         case = self._cases.get(move)
--- a/cowsliploom/rollout/_move_trial.py
+++ b/cowsliploom/rollout/_move_trial.py
@@ -1,15 +1,19 @@
 """All evidence on one attempt of a version move."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from cowsliploom.rollout._baseline_latency import CALLS_MIN, BaselineLatency, pooled
 from cowsliploom.rollout._counts import Counts
-from cowsliploom.rollout._criteria import DEFAULT_CRITERIA, VetoCriteria
+from cowsliploom.rollout._criteria import (
+    ANSWER_KINDS,
+    DEFAULT_CRITERIA,
+    VetoCriteria,
+)
 from cowsliploom.rollout._defect_test import DefectTests, Finding
 from cowsliploom.rollout._evidence import OLD_VERSION, Evidence, RowKey
 from cowsliploom.rollout._local_calls import OTHER_ROUTES, ROUTES_MAX, LocalCalls
-from cowsliploom.rollout._moves import Move
+from cowsliploom.rollout._moves import DefectKind, Move
 from cowsliploom.rollout._route_trial import RouteTrial
 from cowsliploom.rollout._samples import RecordSample
 
@@ -134,8 +138,20 @@
 
     def is_inconclusive(self) -> bool:
         """Return whether the share must not be raised for now."""
+        criteria = self._criteria
+        return self._is_in_doubt(criteria.inconclusive_e_value, criteria.kinds)
+
+    def is_unproven(self) -> bool:
+        """Return whether the move must not finish for now."""
+        criteria = self._criteria
+        if not criteria.counts_answers:
+            return False
+        return self._is_in_doubt(criteria.unproven_e_value, ANSWER_KINDS)
+
+    def _is_in_doubt(self, e_value_min: float, kinds: Iterable[DefectKind]) -> bool:
         return any(
-            test.is_inconclusive(self.move.new_servers) for test in self._tests()
+            test.is_in_doubt(self.move.new_servers, e_value_min, kinds)
+            for test in self._tests()
         )
 
     def _alpha(self) -> float:
--- a/cowsliploom/rollout/_moves.py
+++ b/cowsliploom/rollout/_moves.py
@@ -91,6 +91,9 @@
         Baseline latency (p95) of the old version on each route before the move.
     requests : float or None
         Requests expected in the whole time of the move, if known.
+    exposed : float
+        Requests that the new version has received by the last step, by the shares or by
+        the counts, whichever is more.
     abandoned, rejected : tuple of str
         Versions of earlier moves of the service that were replaced before the move
         finished, or rolled back.
@@ -107,6 +110,7 @@
     reason: str = ''
     usual_ms: Mapping[str, float] = field(default_factory=dict)
     requests: float | None = None
+    exposed: float = 0
     abandoned: tuple[str, ...] = ()
     rejected: tuple[str, ...] = ()
 
--- a/cowsliploom/rollout/_rollout.py
+++ b/cowsliploom/rollout/_rollout.py
@@ -137,6 +137,7 @@
             self._by_move(self._judge.samples),
             suspects=self._judge.suspects(),
             inconclusive=self._judge.inconclusive(),
+            unproven=self._judge.unproven(),
             requests=self._by_move(self._judge.requests),
             baseline_ms=self._by_move(self._judge.baseline_ms),
         )
--- a/cowsliploom/rollout/_route_trial.py
+++ b/cowsliploom/rollout/_route_trial.py
@@ -1,5 +1,7 @@
 """Comparison of a new version's calls on one route with the old version's."""
 
+from collections.abc import Iterable
+
 from cowsliploom.rollout._baseline_rates import AllowedRates, BaselineRates
 from cowsliploom.rollout._counts import Counts
 from cowsliploom.rollout._criteria import DEFAULT_CRITERIA, VetoCriteria
@@ -53,9 +55,11 @@
         """Return the most evidence of any kind of defect."""
         return self._tests.e_value
 
-    def is_inconclusive(self, new_servers: int) -> bool:
-        """Return whether the share must not be raised for now."""
-        return self._tests.is_inconclusive(new_servers)
+    def is_in_doubt(
+        self, new_servers: int, e_value_min: float, kinds: Iterable[DefectKind]
+    ) -> bool:
+        """Return whether a test has this much evidence, not only on one server."""
+        return self._tests.is_in_doubt(new_servers, e_value_min, kinds)
 
     def strongest_finding(self) -> Finding:
         """Return the finding with the most evidence on this route."""
--- a/cowsliploom/rollout/_schedule.py
+++ b/cowsliploom/rollout/_schedule.py
@@ -10,6 +10,9 @@
 CAUTIOUS_END = 0.94  # a late end leaves more calls to judge before it
 STEP_MIN_MS = 3000.0  # a bad version is detected before the next step, even when late
 STEP_SAMPLES = 100  # calls of the new version after which a step may end early
+USABLE_EXPOSURE = 0.85  # the rest is for calls sent before a roll-back is in force
+RAMP_END_STEPS = 3  # the last steps, at which all requests may be moved
+EARLY_EXPOSURE = 0.2  # of the usable one, spent before all requests can be moved
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +31,37 @@
     shares: tuple[float, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ExposureLimit:
+    """Limit on the requests that a bad version may receive.
+
+    Parameters
+    ----------
+    share : float
+        Share of the service's requests, from the start of the move to its deadline.
+    extra : float
+        Requests beyond that share.
+    """
+
+    share: float
+    extra: float
+
+    def usable(self, requests: float) -> float:
+        """Return how many requests a version in doubt may receive.
+
+        Parameters
+        ----------
+        requests : float
+            Requests of the service expected in the whole time of the move.
+
+        Examples
+        --------
+        >>> ExposureLimit(share=0.1, extra=50).usable(100)
+        51.0
+        """
+        return USABLE_EXPOSURE * (self.share * requests + self.extra)
+
+
 @dataclass(frozen=True, slots=True)
 class Schedule:
     """Define the shares of a move and the pace of its steps.
@@ -41,8 +75,11 @@
         enough samples, and whatever the traffic.
     step_min_ms : float
         Shortest duration of a step.
-    low_traffic : tuple of LowTraffic
-        Shares for few requests, the fewest first. Default none.
+    low_traffic : LowTraffic or None
+        Shares for few requests. Default None.
+    exposure : ExposureLimit or None
+        Limit on what a bad version may receive. The fewer requests are expected, the
+        earlier all of them may go to the new version within it. Default None.
     settle_ms : float
         Pause of a controller after it finds another one's state, so that the evidence
         of other daemons arrives first. Default 0.
@@ -56,33 +93,59 @@
     early_end: float = EARLY_END
     late_end: float = LATE_END
     step_min_ms: float = STEP_MIN_MS
-    low_traffic: tuple[LowTraffic, ...] = ()
+    low_traffic: LowTraffic | None = None
+    exposure: ExposureLimit | None = None
     settle_ms: float = 0
     fixed_step_times: bool = False
 
-    def share(self, step: int, requests: float) -> float:
-        """Return the share of a step, given the requests expected in the whole time.
+    def share(self, step: int, requests: float, exposed: float = 0) -> float:
+        """Return the share of a step.
+
+        Parameters
+        ----------
+        step : int
+            Index of the step.
+        requests : float
+            Requests of the service expected in the whole time.
+        exposed : float
+            Requests that the new version has received so far. Default 0.
 
         Examples
         --------
         >>> from cowsliploom.rollout import CAUTIOUS_SCHEDULE
-        >>> [CAUTIOUS_SCHEDULE.share(5, requests) for requests in (40, 400)]
-        [1.0, 0.05]
+        >>> [CAUTIOUS_SCHEDULE.share(6, requests) for requests in (40, 400, 4000)]
+        [1.0, 0.2, 0.05]
+        """
+        override = self.low_traffic
+        is_low = override is not None and requests <= override.requests_max
+        share = override.shares[step] if override and is_low else self.shares[step]
+        if self.exposure is None or not is_low:
+            return share
+        return max(share, self._share_within_exposure(step, requests, exposed))
+
+    def _share_within_exposure(
+        self, step: int, requests: float, exposed: float
+    ) -> float:
+        """Return the share that uses the limit for the latest requests first.
+
+        A version may turn bad at any time, and those requests judge it as it is when
+        the move finishes. However few there are, the share grows by steps.
         """
-        fitting = (
-            override.shares
-            for override in self.low_traffic
-            if requests <= override.requests_max
-        )
-        return next(fitting, self.shares)[step]
+        step_max = min(1.0, (step + 1) / (len(self.shares) - RAMP_END_STEPS))
+        if self.exposure is None or not requests:
+            return step_max
+        usable = self.exposure.usable(requests)
+        step_requests = requests * self.late_end / (len(self.shares) - 1)
+        later_requests = requests - step_requests * (step + 1)
+        for_step = (usable - exposed - later_requests) / step_requests
+        return min(step_max, max(for_step, EARLY_EXPOSURE * usable / requests))
 
 
 DEFAULT_SCHEDULE = Schedule()
 
 # A version that turns bad late must have received few requests by then, so the share
-# stays low for as long as the time given allows, and no step ends early. A bad version
-# may receive some requests in any case: with hardly more than these in total, larger
-# shares use them as evidence.
+# stays low for as long as the time given allows, and no step ends early. With few
+# requests, larger shares are needed for enough evidence.
 CAUTIOUS_SCHEDULE = Schedule(
     shares=(0.01, 0.01, 0.01, 0.02, 0.02, 0.02, 0.05, 0.1, 1.0, 1.0),
     early_end=CAUTIOUS_END,
@@ -90,11 +153,10 @@
     step_min_ms=500,
     settle_ms=1000,
     fixed_step_times=True,
-    low_traffic=(
-        LowTraffic(60, (0.1, 0.2, 0.3, 0.5, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0)),
-        LowTraffic(150, (0.05, 0.1, 0.2, 0.2, 0.3, 0.3, 1.0, 1.0, 1.0, 1.0)),
-        LowTraffic(1000, (0.02, 0.03, 0.03, 0.05, 0.05, 0.05, 0.2, 0.3, 1.0, 1.0)),
+    low_traffic=LowTraffic(
+        1000, (0.02, 0.03, 0.03, 0.05, 0.05, 0.05, 0.2, 0.3, 1.0, 1.0)
     ),
+    exposure=ExposureLimit(share=0.1, extra=50),
 )
 
 
--- a/cowsliploom/rollout/_states.py
+++ b/cowsliploom/rollout/_states.py
@@ -35,18 +35,30 @@
         state,
         status=MoveStatus.FINISHED if is_last else MoveStatus.RUNNING,
         step=step,
-        share=max(state.share, schedule.share(step, requests)),
+        share=max(state.share, schedule.share(step, requests, state.exposed)),
     )
 
 
-def rolled_back_if_overdue(
-    move: Move, state: MoveState, store_ms: float
+def exposed_requests(state: MoveState, store_ms: float, given_ms: float) -> float:
+    """Return the requests that a new version has received by its shares."""
+    if state.requests is None:
+        return state.exposed
+    elapsed_ms = store_ms - state.updated_ms
+    return state.exposed + state.share * state.requests * elapsed_ms / given_ms
+
+
+def rolled_back_in_doubt(
+    move: Move, state: MoveState, schedule: Schedule, store_ms: float
 ) -> MoveState | None:
     """Return the rolled-back state if a suspect version wasn't cleared in time."""
     given_ms = move.finish_by_ms - state.started_ms
-    if store_ms < state.started_ms + SUSPECT_END * given_ms:
+    if store_ms >= state.started_ms + SUSPECT_END * given_ms:
+        return _rolled_back(state, 'still in doubt at the end of the time given')
+    if schedule.exposure is None or state.requests is None:
         return None
-    return _rolled_back(state, 'still in doubt at the end of the time given')
+    if state.exposed >= schedule.exposure.usable(state.requests):
+        return _rolled_back(state, 'still in doubt after the requests it may receive')
+    return None
 
 
 def rolled_back(
