Give each test process loopback addresses of its own

Cause: the addresses followed from the process number modulo 250, so two runs side by side could take the same ones, and a test failed by the other run's gateways.

--- a/tests/processes/gateway_world.py
+++ b/tests/processes/gateway_world.py
@@ -8,12 +8,12 @@
 
 from cowsliploom.dataplane import ConnectionPool, HttpAnswer
 from cowsliploom.standins import FakeBackendServer, FakePlatformStore
+from tests.processes.addresses import HOST_PREFIX
 from tests.processes.builds import select_build
 
 SHARDS = ('s0', 's1', 's2', 's3')
 # Enough shards for the gateway to divide a query among relays.
 MANY = tuple(f'k{number:02}' for number in range(48))
-HOST_PREFIX = f'127.0.{os.getpid() % 250 + 1}'  # differs between test processes
 START_S = 10
 ASK_TIMEOUT_MS = 5000
 LOG_LINES_MAX = 60  # of each gateway, shown when a test fails
--- a/tests/processes/test_endless_servers.py
+++ b/tests/processes/test_endless_servers.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cowsliploom.standins import EndlessResponse, FakeBackendServer
-from tests.processes.gateway_world import HOST_PREFIX, ask, run_script
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import ask, run_script
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_extra_calls.py
+++ b/tests/processes/test_extra_calls.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.processes.gateway_world import HOST_PREFIX, START_S, ask, run_script
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import START_S, ask, run_script
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -8,14 +8,8 @@
 
 import pytest
 
-from tests.processes.gateway_world import (
-    HOST_PREFIX,
-    MANY,
-    SHARDS,
-    ask,
-    configuration,
-    run_script,
-)
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import MANY, SHARDS, ask, configuration, run_script
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_gateway_moves.py
+++ b/tests/processes/test_gateway_moves.py
@@ -8,7 +8,8 @@
 
 from cowsliploom.members import rank_names
 from cowsliploom.standins import FakeBackendServer
-from tests.processes.gateway_world import HOST_PREFIX, ask, run_script
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import ask, run_script
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_large_configuration.py
+++ b/tests/processes/test_large_configuration.py
@@ -11,13 +11,8 @@
 import pytest
 
 from cowsliploom.members import Member, chosen_watchers
-from tests.processes.gateway_world import (
-    HOST_PREFIX,
-    ask,
-    configuration,
-    run_script,
-    start_gateway,
-)
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import ask, configuration, run_script, start_gateway
 from tests.processes.relay import Relay
 from tests.processes.weak_links import PEERS_PORT, WeakLinks
 
--- a/tests/processes/test_moves_beside_planned_work.py
+++ b/tests/processes/test_moves_beside_planned_work.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.processes.gateway_world import HOST_PREFIX
+from tests.processes.addresses import HOST_PREFIX
 from tests.processes.test_gateway_exposure import (
     BAD,
     check_rolled_back,
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 
-from tests.processes.gateway_world import HOST_PREFIX, ask, run_script
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import ask, run_script
 
 pytestmark = pytest.mark.processes
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from cowsliploom.dataplane import ConnectionPool, HttpAnswer
-from tests.processes.gateway_world import HOST_PREFIX
+from tests.processes.addresses import HOST_PREFIX
 
 DEADLINE_MS = 1400
 CLIENT_TIMEOUT_MS = 4000.0  # a caller that receives nothing within this time gives up
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,8 @@
 
 from cowsliploom.forwarding.tests.extra_calls import ExtraBound
 from cowsliploom.standins import FakePlatformStore
-from tests.processes.gateway_world import HOST_PREFIX, start_gateway
+from tests.processes.addresses import HOST_PREFIX
+from tests.processes.gateway_world import start_gateway
 from tests.soak.backends import SoakBackend
 from tests.soak.proxy import Proxy
 
