--- a/cowsliploom/forwarding/_dispatcher.py
+++ b/cowsliploom/forwarding/_dispatcher.py
@@ -12,6 +12,7 @@
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import CallerRequest, ErrorReply, Outcome
 from cowsliploom.forwarding._relay_plan import (
+    PlannedShare,
     RelayShare,
     plan_relays,
     plan_remote_relays,
@@ -47,7 +48,7 @@
     """Assignment of a route's shards to relays."""
 
     inputs: _PlanInputs
-    shares: tuple[RelayShare, ...]
+    shares: tuple[PlannedShare, ...]
 
 
 class RequestDispatcher:
@@ -149,13 +150,7 @@
 
     def relay(self, share: RelayShare, now_ms: float) -> Server:
         """Return the relay of a share, tracked like a backend server."""
-        known = self._relays.get(share.relay.name)
-        if known is None or known.record.address != share.relay.address:
-            known = Server(
-                _relay_record(share.relay), now_ms, self.fleet.on_health_change
-            )
-            self._relays[share.relay.name] = known
-        return known
+        return self._relay_of(share.relay, now_ms)
 
     def next_call_id(self) -> int:
         """Return an unused call id."""
@@ -201,23 +196,29 @@
             plan = _RelayPlan(inputs, self._make_plan(route.fan_out.shards, members))
             self._plans[route.name] = plan
         silence_ms = hedge_delay_ms(route, self.latency(route))
-        return tuple(
-            share
-            for share in plan.shares
-            if self._is_responsive(share, now_ms, silence_ms)
+        chosen = (
+            self._responsive_share(planned, now_ms, silence_ms)
+            for planned in plan.shares
         )
+        return tuple(share for share in chosen if share is not None)
+
+    def _responsive_share(
+        self, planned: PlannedShare, now_ms: float, silence_ms: float
+    ) -> RelayShare | None:
+        """Return the share of the first relay that responds, or None.
 
-    def _is_responsive(
-        self, share: RelayShare, now_ms: float, silence_ms: float
-    ) -> bool:
-        """Return whether a relay responds; shares lost in a relay cost extra calls."""
-        relay = self.relay(share, now_ms)
-        lacks_response = relay.lacks_response(now_ms, silence_ms)
-        return not (lacks_response or relay.is_ejected(now_ms))
+        Shares lost in a relay cost extra calls.
+        """
+        for member in planned.relays:
+            relay = self._relay_of(member, now_ms)
+            lacks_response = relay.lacks_response(now_ms, silence_ms)
+            if not (lacks_response or relay.is_ejected(now_ms)):
+                return RelayShare(member, planned.shards)
+        return None
 
     def _make_plan(
         self, shards: tuple[str, ...], members: tuple[Member, ...]
-    ) -> tuple[RelayShare, ...]:
+    ) -> tuple[PlannedShare, ...]:
         own = self.fleet.data_centre
         data_centres = {shard: self.fleet.data_centres_of(shard) for shard in shards}
         local = tuple(shard for shard, found in data_centres.items() if own in found)
@@ -227,10 +228,17 @@
         local_members = tuple(one for one in members if one.data_centre == own)
         remote_members = tuple(one for one in members if one.data_centre != own)
         return (
-            *plan_relays(local, local_members),
-            *plan_remote_relays(remote, remote_members, self.name),
+            *plan_relays(local, local_members, shards),
+            *plan_remote_relays(remote, remote_members, self.name, shards),
         )
 
+    def _relay_of(self, member: Member, now_ms: float) -> Server:
+        known = self._relays.get(member.name)
+        if known is None or known.record.address != member.address:
+            known = Server(_relay_record(member), now_ms, self.fleet.on_health_change)
+            self._relays[member.name] = known
+        return known
+
     def _sub_requests(self, route: Route, sharers: int = 0) -> tuple[SubRequest, ...]:
         counts = SubRequestCounts()
         if route.fan_out is not None:
--- a/cowsliploom/forwarding/tests/test_relay.py
+++ b/cowsliploom/forwarding/tests/test_relay.py
@@ -85,16 +85,16 @@
 def test_shards_are_divided_among_different_members(shards, members, shares):
     plan = plan_relays(shards, members)
     assert len(plan) == shares
-    assert len({share.relay for share in plan}) == shares
+    assert len({share.relays[0] for share in plan}) == shares
     named = [shard for share in plan for shard in share.shards]
     assert len(named) == len(set(named)) == shares * SHARDS_PER_RELAY
 
 
 def test_most_shards_keep_their_relay_when_a_member_leaves():
-    before = {share.shards: share.relay for share in plan_relays(SHARDS, MEMBERS)}
+    before = {share.shards: share.relays[0] for share in plan_relays(SHARDS, MEMBERS)}
     gone = next(iter(before.values()))
     remaining = tuple(member for member in MEMBERS if member is not gone)
-    after = {share.shards: share.relay for share in plan_relays(SHARDS, remaining)}
+    after = {share.shards: share.relays[0] for share in plan_relays(SHARDS, remaining)}
     kept = [shards for shards, relay in before.items() if after[shards] == relay]
     assert len(kept) >= len(before) / 2
 
@@ -131,7 +131,7 @@
         REMOTE_MEMBERS,
         'own',
     )
-    found = sorted((one.relay.data_centre, len(one.shards)) for one in plan)
+    found = sorted((one.relays[0].data_centre, len(one.shards)) for one in plan)
     assert found == shares
     named = [shard for share in plan for shard in share.shards]
     assert len(named) == len(set(named))
