Let seeds read the store for a fleet that starts, and probe it last

Cause: a process without contents watched the store at once, so each of 195 VMs that start together read it whole; in a long outage all of them asked it from the same moment on; and a VM that misses servers probed the store and its peers at the same time, five times a second.

Change: members' choice to watch is one sans-IO decision (members/_watch_choice). The seeds read at once; others wait for their peers, 1.5 s at most (0.5 s while nobody answers), and take over in the order of their ranks. The store is probed only if no member elsewhere answers, once a second.

--- a/cowsliploom/gateway/_isolation.py
+++ b/cowsliploom/gateway/_isolation.py
@@ -17,6 +17,7 @@
 CHECK_INTERVAL_MS = 50.0
 PROBED_CHECK_INTERVAL_MS = 200.0  # after a check that probed the store and members
 PROBE_TIMEOUT_MS = 300.0
+STORE_PROBE_INTERVAL_MS = 1000.0  # a data centre that is cut off asks with all its VMs
 
 
 class Isolation:
@@ -59,6 +60,8 @@
         self._store = store
         self._log = log
         self._now_ms = now_ms
+        self._store_probed_ms = float('-inf')
+        self._store_answered = False
 
     @property
     def is_ready(self) -> bool:
@@ -90,10 +93,18 @@
         return PROBED_CHECK_INTERVAL_MS
 
     async def _is_probe_answered(self) -> bool:
-        answers = await asyncio.gather(
-            self._peers.reaches_others(), self._store.is_reachable(PROBE_TIMEOUT_MS)
-        )
-        return any(answers)
+        """Return whether a member elsewhere answers, or else the store.
+
+        The members are asked first, as every VM asks while a route lacks servers.
+        """
+        return await self._peers.reaches_others() or await self._reaches_store()
+
+    async def _reaches_store(self) -> bool:
+        now_ms = self._now_ms()
+        if now_ms >= self._store_probed_ms + STORE_PROBE_INTERVAL_MS:
+            self._store_probed_ms = now_ms
+            self._store_answered = await self._store.is_reachable(PROBE_TIMEOUT_MS)
+        return self._store_answered
 
     def _update(self, is_isolated: bool, unreachable_routes: int) -> None:
         if is_isolated != self.is_isolated:
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -28,19 +28,21 @@
 from cowsliploom.gateway._update_fetcher import UpdateFetcher
 from cowsliploom.gateway._update_propagation import UpdatePropagation
 from cowsliploom.members import (
+    STALE_MS,
+    WATCHERS,
     LivenessRecord,
     Member,
     MembershipTable,
     WatcherLiveness,
+    WatchInputs,
     chosen_watchers,
+    must_watch,
     rank_names,
 )
 
 MS_PER_S = 1000
 EXCHANGE_MS = 500.0
 FAST_EXCHANGE_MS = 120.0  # while no member is known or the store does not answer
-WATCHERS = 1  # per data centre; updates also travel between data centres
-STALE_MS = 6500.0  # longer than a watch takes; beyond it, exchanges are fast
 ASSUMED_SHARERS = 12  # until a member is known: cautious, as there may be many
 REACH_PROBES = 3
 PEER_LIMITS = CallerLimits(body_bytes_max=MESSAGE_BYTES_MAX)
@@ -91,7 +93,8 @@
         )
         self._random = random.Random(known.own.name)
         self._live: frozenset[str] = frozenset()
-        self._changed_ms = now_ms()
+        self._started_ms = now_ms()
+        self._changed_ms = self._started_ms
         self._others: tuple[Member, ...] = ()
         self._is_leaving = False
         self._background = BackgroundTasks()
@@ -136,20 +139,21 @@
         return any(answers)
 
     def watches_store(self) -> bool:
-        """Return whether this daemon must watch the store for its data centre.
-
-        A daemon that is not a chosen watcher also watches while the last confirmation
-        from the store is stale, and while no member is known to be watching.
-        """
+        """Return whether this daemon must watch the store for its data centre."""
         now_ms = self.now_ms()
-        if self._store_view.confirmed_age_ms(now_ms) > STALE_MS:
-            return True
-        live = self.known.live(now_ms)
         own = self.known.own
-        rank = chosen_watchers(live, own.data_centre, len(live)).index(own.name)
-        return rank < WATCHERS or self.watcher_liveness.is_missing(
-            now_ms, rank - WATCHERS
+        live = self.known.live(now_ms)
+        ranked = chosen_watchers(live, own.data_centre, len(live))
+        others = set(self.known.seeds) - {own.address}
+        inputs = WatchInputs(
+            rank=ranked.index(own.name),
+            is_seed=own.address in self.known.seeds or not others,
+            has_seen_peer=self.known.has_seen_peer,
+            up_ms=now_ms - self._started_ms,
+            has_contents=self._store_view.mirror.revision > 0,
+            confirmed_age_ms=self._store_view.confirmed_age_ms(now_ms),
         )
+        return must_watch(inputs, self.watcher_liveness, now_ms)
 
     def broadcast_fact(self, fact: Fact) -> None:
         """Send a persistent fact to all members; each later message carries it."""
--- a/cowsliploom/gateway/tests/test_isolation.py
+++ b/cowsliploom/gateway/tests/test_isolation.py
@@ -16,7 +16,7 @@
 NOW_MS = 1000
 
 
-def make_isolation(answers, *, is_cut):
+def make_isolation(answers, *, is_cut, store=None):
     """Return an isolation whose probes wait for a future."""
     dispatcher = make_dispatcher(servers=0)
     names = ('one', *(f's{number}' for number in range(10)))
@@ -30,7 +30,9 @@
         return await answers
 
     others = SimpleNamespace(reaches_others=ask, is_reachable=ask)
-    return Isolation(dispatcher, others, others, RecordingLog(), lambda: NOW_MS)
+    return Isolation(
+        dispatcher, others, store or others, RecordingLog(), lambda: NOW_MS
+    )
 
 
 @pytest.mark.parametrize('is_answered', [False, True])
@@ -49,6 +51,40 @@
     asyncio.run(run_scenario())
 
 
+class CountingStore:
+    """A store that counts the probes it gets."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.probes = 0
+
+    async def is_reachable(self, _timeout_ms):
+        """Count the probe and answer it."""
+        self.probes += 1
+        return self.answers
+
+
+@pytest.mark.parametrize(
+    ('others_answer', 'probes'), [(True, 0), (False, 1)], ids=['members', 'nobody']
+)
+def test_store_is_probed_once_a_second_and_only_if_no_member_answers(
+    others_answer, probes
+):
+    """All VMs of a data centre asked the store five times a second while it was cut."""
+
+    async def run_scenario():
+        answers = asyncio.get_running_loop().create_future()
+        answers.set_result(others_answer)
+        store = CountingStore(answers=False)
+        isolation = make_isolation(answers, is_cut=True, store=store)
+        for _ in range(4):
+            await isolation.check()
+        assert store.probes == probes
+        assert isolation.is_ready is others_answer
+
+    asyncio.run(run_scenario())
+
+
 def test_no_probe_is_sent_while_servers_elsewhere_answer():
     async def run_scenario():
         answers = asyncio.get_running_loop().create_future()
--- a/cowsliploom/members/__init__.py
+++ b/cowsliploom/members/__init__.py
@@ -21,4 +21,8 @@
 from cowsliploom.members._rendezvous import chosen_watchers as chosen_watchers
 from cowsliploom.members._rendezvous import rank_names as rank_names
 from cowsliploom.members._rendezvous import rendezvous_score as rendezvous_score
+from cowsliploom.members._watch_choice import STALE_MS as STALE_MS
+from cowsliploom.members._watch_choice import WATCHERS as WATCHERS
+from cowsliploom.members._watch_choice import WatchInputs as WatchInputs
+from cowsliploom.members._watch_choice import must_watch as must_watch
 from cowsliploom.members._watcher_liveness import WatcherLiveness as WatcherLiveness
