Exchange fingerprints of members, and names only of those that a peer lacks

While VMs are restarted in turn no two know the same members, so each exchange sent the names of all 195 both ways (9 KB each), and a VM that leaves got them once more from each of the 194 others that it told.

Change: two VMs with different members exchange fingerprints with ages (six bytes a member) and then only the records that the other one lacks (gateway/_roster_sync, sans-IO). A leaving VM sends no ages and asks for none. Messages carry a version; an earlier release gets complete records as before.

--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -8,6 +8,7 @@
 from cowsliploom.protocol import DECODE_FAILURES
 
 NO_UPDATES = b''
+MESSAGE_VERSION = 1  # 0 in messages of releases that send all members by name
 UNKNOWN_AGE_MS = 1e9  # of what was never confirmed or received
 COMPRESSION_LEVEL = 1  # the fastest; it shrinks a large configuration to a tenth
 UPDATES_DECODE_FAILURES = (zlib.error, *DECODE_FAILURES)
@@ -45,7 +46,7 @@
     census : Census
         Ages of the members' last messages, for a receiver that knows the same members.
     sightings : tuple of WireLivenessRecord
-        The same ages with names and addresses, for a receiver that may know others.
+        Ages with names and addresses, of members that the receiver may lack.
     news : bytes
         Updates that the receiver lacks, from ``encode_updates``; empty for none. They
         stay encoded, so that the receiver can forward them unchanged.
@@ -59,6 +60,11 @@
         Time since a member was last known to be watching the store.
     is_leaving : bool
         Whether the sender is about to stop.
+    version : int
+        Which fields the sender understands; unknown ones are skipped.
+    member_ages : bytes
+        Ages by fingerprint of the member, from ``MemberAges.encode``, for a receiver
+        that knows other members; empty otherwise.
     """
 
     name: str
@@ -74,6 +80,8 @@
     facts: tuple['Fact', ...] = ()
     attended_age_ms: float = UNKNOWN_AGE_MS
     is_leaving: bool = False
+    version: int = 0
+    member_ages: bytes = b''
 
     @property
     def sender(self) -> Member:
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -15,22 +15,23 @@
 from cowsliploom.gateway._metrics import Metrics
 from cowsliploom.gateway._peer_calls import MESSAGE_BYTES_MAX, PeerCalls
 from cowsliploom.gateway._peer_wire import (
+    MESSAGE_VERSION,
     Fact,
     PeerMessage,
     UpdatesError,
-    WireLivenessRecord,
     decode_message,
     decode_updates,
     encode_message,
 )
 from cowsliploom.gateway._provenance import Provenance
+from cowsliploom.gateway._roster_sync import RosterSync
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._update_fetcher import UpdateFetcher
 from cowsliploom.gateway._update_propagation import UpdatePropagation
 from cowsliploom.members import (
     STALE_MS,
     WATCHERS,
-    LivenessRecord,
+    Census,
     Member,
     MembershipTable,
     WatcherLiveness,
@@ -45,6 +46,7 @@
 FAST_EXCHANGE_MS = 120.0  # while no member is known or the store does not answer
 ASSUMED_SHARERS = 12  # until a member is known: cautious, as there may be many
 REACH_PROBES = 3
+NO_CENSUS = Census(0, ())  # of a member that leaves, which all others are told
 PEER_LIMITS = CallerLimits(body_bytes_max=MESSAGE_BYTES_MAX)
 OWNER_HOLD_MS = 1000.0  # after a membership change, which others may see later
 ASK_WATCHER_SHARE = 0.5  # of exchanges while it is suspect; the rest go to others
@@ -79,6 +81,7 @@
         apply_ms: float,
     ) -> None:
         self.known = known
+        self._roster_sync = RosterSync(known)
         self._store_view = store_view
         self._log = log
         self._calls = PeerCalls(log, metrics, now_ms)
@@ -237,21 +240,17 @@
         )
         return await self._send(address, message)
 
-    async def exchange(
-        self, address: str, with_records: bool = False, wants_updates: bool = False
-    ) -> bool:
+    async def exchange(self, address: str, wants_updates: bool = False) -> bool:
         """Exchange messages with a peer; return whether it answered.
 
         Parameters
         ----------
         address : str
             Address of the peer.
-        with_records : bool
-            Whether to send the members with their names. Default False.
         wants_updates : bool
             Whether to request the updates that are missing here. Default False.
         """
-        message = self._message(with_records)
+        message = self._message()
         if wants_updates:
             message = msgspec.structs.replace(message, wants_news=True)
         return await self._send(address, message)
@@ -260,9 +259,12 @@
         message = await self._calls.call(address, sent)
         if message is None:
             return False
-        knows_same = self._apply_message(message)
-        if not (knows_same or sent.sightings):
-            self._background.start(self.exchange(address, with_records=True))
+        if not self._apply_message(message):
+            follow_up = self._roster_sync.follow_up(
+                self._message(), sent, message, self.now_ms()
+            )
+            if follow_up is not None:
+                self._background.start(self._send(address, follow_up))
         return True
 
     def _handle_request(self, request: HttpRequest) -> None:
@@ -274,17 +276,19 @@
         is_same_roster = self._apply_message(message)
         if message.tell_on:
             self.updates.forward(message.news, message.tell_on)
-        answer = self._message(with_records=not is_same_roster)
+        answer = self._message()
+        if not is_same_roster:
+            answer = self._roster_sync.answer(answer, message, self.now_ms())
         if message.wants_news and message.revision < self._store_view.mirror.revision:
             updates = self.updates.encoded_since(message.revision)
             answer = msgspec.structs.replace(answer, news=updates)
         headers = [('Content-Type', 'application/msgpack')]
         request.answer(200, headers, encode_message(answer))
 
-    def _message(self, with_records: bool = False) -> PeerMessage:
+    def _message(self) -> PeerMessage:
         now_ms = self.now_ms()
-        records = self.known.liveness_records(now_ms) if with_records else ()
         own = self.known.own
+        census = NO_CENSUS if self._is_leaving else self.known.census(now_ms)
         watcher_liveness = self.watcher_liveness
         attended_age_ms = (
             watcher_liveness.reported_age_ms(now_ms)
@@ -297,11 +301,11 @@
             own.data_centre,
             self._store_view.mirror.revision,
             self._store_view.confirmed_age_ms(now_ms),
-            self.known.census(now_ms),
-            tuple(WireLivenessRecord.of(record) for record in records),
+            census,
             facts=self.facts.persistent(),
             attended_age_ms=attended_age_ms,
             is_leaving=self._is_leaving,
+            version=MESSAGE_VERSION,
         )
 
     def _apply_message(self, message: PeerMessage) -> bool:
@@ -310,9 +314,7 @@
         if message.is_leaving:
             self.known.remove(message.name)
             return True
-        self.known.record((LivenessRecord(message.sender, 0),), now_ms)
-        self.known.record((seen.liveness_record for seen in message.sightings), now_ms)
-        is_same_roster = self.known.record_ages(message.census, now_ms)
+        is_same_roster = self._roster_sync.apply(message, now_ms)
         self.watcher_liveness.record(message.attended_age_ms, now_ms)
         is_remote = message.data_centre != self.known.own.data_centre
         if self.facts.receive(message.facts) and is_remote:
--- a/cowsliploom/members/__init__.py
+++ b/cowsliploom/members/__init__.py
@@ -3,6 +3,7 @@
 from cowsliploom.members._fan_out import FAN_OUT as FAN_OUT
 from cowsliploom.members._fan_out import fan_out_groups as fan_out_groups
 from cowsliploom.members._fleet_share import FleetShare as FleetShare
+from cowsliploom.members._member_ages import MemberAges as MemberAges
 from cowsliploom.members._members import Member as Member
 from cowsliploom.members._members import MemberState as MemberState
 from cowsliploom.members._members import MemberStatus as MemberStatus
--- a/cowsliploom/members/_membership_table.py
+++ b/cowsliploom/members/_membership_table.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from cowsliploom.members._member_ages import MemberAges, fingerprint
 from cowsliploom.members._members import Member
 from cowsliploom.members._rendezvous import rank_names
 
@@ -96,6 +97,7 @@
         self._last_seen_ms: dict[str, float] = {}
         self._members: dict[str, Member] = {}
         self._roster: Roster | None = None
+        self._fingerprints: dict[int, str] = {}
 
     def record(
         self, records: Iterable[LivenessRecord], now_ms: float
@@ -123,10 +125,20 @@
                 )
         return True
 
+    def record_member_ages(self, ages: MemberAges, now_ms: float) -> None:
+        """Apply the ages of those members that are known here."""
+        for key, age_ms in ages.ages_ms.items():
+            name = self._fingerprints.get(key)
+            if name is not None:
+                seen_ms = now_ms - age_ms
+                self._last_seen_ms[name] = max(self._last_seen_ms[name], seen_ms)
+
     def remove(self, name: str) -> None:
         """Remove a member that is leaving or has expired."""
         self._last_seen_ms.pop(name, None)
-        self._members.pop(name, None)
+        member = self._members.pop(name, None)
+        if member is not None:
+            self._fingerprints.pop(fingerprint(member), None)
         self._roster = None
 
     def liveness_records(self, now_ms: float) -> tuple[LivenessRecord, ...]:
@@ -138,6 +150,29 @@
         )
         return (LivenessRecord(self.own, 0), *others)
 
+    def member_ages(self, now_ms: float) -> MemberAges:
+        """Return the ages of all members, this daemon included, by fingerprint."""
+        self._expire(now_ms)
+        ages_ms = {
+            key: now_ms - self._last_seen_ms[name]
+            for key, name in self._fingerprints.items()
+        }
+        return MemberAges({**ages_ms, fingerprint(self.own): 0})
+
+    def records_missing_in(
+        self, ages: MemberAges, now_ms: float
+    ) -> tuple[LivenessRecord, ...]:
+        """Return the records of the members that a peer with these ages lacks."""
+        return tuple(
+            record
+            for record in self.liveness_records(now_ms)
+            if fingerprint(record.member) not in ages.ages_ms
+        )
+
+    def lacks_any_of(self, ages: MemberAges, now_ms: float) -> bool:
+        """Return whether a peer with these ages knows a member that is unknown here."""
+        return not ages.ages_ms.keys() <= self.member_ages(now_ms).ages_ms.keys()
+
     def census(self, now_ms: float) -> Census:
         """Return the ages alone, for a partner with the same member list."""
         roster = self._current_roster(now_ms)
@@ -198,7 +233,10 @@
         latest_ms = self._last_seen_ms.get(member.name, seen_ms)
         self._last_seen_ms[member.name] = max(seen_ms, latest_ms)
         if known != member and seen_ms >= latest_ms:
+            if known is not None:
+                self._fingerprints.pop(fingerprint(known), None)
             self._members[member.name] = member
+            self._fingerprints[fingerprint(member)] = member.name
             self._roster = None
         return known is None
 
