Name a product module, two records and a method by what they do

_defect_test.py holds product code, two classes in daemons/ were both FleetStatus, execute_other runs a command, and an example named a service of one deployment. No behaviour changes; the tests of rollout, daemons and gateway pass.

--- a/cowsliploom/coordination/_messages.py
+++ b/cowsliploom/coordination/_messages.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     key : str
-        Name of the fact, such as ``'veto/cellar-briefing'``.
+        Name of the fact, such as ``'veto/searches'``.
     generation : int
         Orders the facts of one key.
     blob : bytes
--- a/cowsliploom/daemons/_entry_http.py
+++ b/cowsliploom/daemons/_entry_http.py
@@ -86,7 +86,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FleetStatus:
+class KnownDaemons:
     """Known daemons with the revision in force at each."""
 
     daemons: tuple[MemberStatus, ...]
@@ -162,7 +162,7 @@
             case 'GET', '/metrics':
                 return self._metrics_response()
             case 'GET', '/v1/fleet/status':
-                return _encode(FleetStatus(self._views.fleet()))
+                return _encode(KnownDaemons(self._views.fleet()))
             case 'POST', path if path.startswith(SEARCHES_PREFIX):
                 return self._search(request, path.removeprefix(SEARCHES_PREFIX))
             case 'POST', path if path.startswith(SERVICES_PREFIX) and path.endswith(
--- a/cowsliploom/daemons/_operator_fleet.py
+++ b/cowsliploom/daemons/_operator_fleet.py
@@ -9,8 +9,8 @@
 from urllib3.exceptions import HTTPError
 
 from cowsliploom.daemons._operator_status import (
+    DaemonRevisions,
     FleetIndex,
-    FleetStatus,
     FleetUnknown,
     MoveStatus,
     MoveUnknown,
@@ -76,7 +76,7 @@
         if response.status != STATUS_OK:
             return FleetUnknown(f'entry VM {address}: status {response.status}')
         try:
-            return index_fleet(decode_json(body, FleetStatus))
+            return index_fleet(decode_json(body, DaemonRevisions))
         except msgspec.MsgspecError as error:
             return FleetUnknown(f'entry VM {address}: {error}')
 
--- a/cowsliploom/daemons/_operator_status.py
+++ b/cowsliploom/daemons/_operator_status.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FleetStatus:
+class DaemonRevisions:
     """Revision in force at each live entry VM, as known by gossip."""
 
     daemons: tuple[DaemonRevision, ...]
@@ -43,12 +43,12 @@
     names: tuple[str, ...]
 
 
-def index_fleet(fleet: FleetStatus) -> FleetIndex:
+def index_fleet(fleet: DaemonRevisions) -> FleetIndex:
     """Index a fleet's status.
 
     Parameters
     ----------
-    fleet : FleetStatus
+    fleet : DaemonRevisions
         Revisions as known by gossip.
 
     Returns
--- a/cowsliploom/daemons/tests/test_operator_status.py
+++ b/cowsliploom/daemons/tests/test_operator_status.py
@@ -8,7 +8,7 @@
 from cowsliploom.daemons._operator_status import (
     BEHIND_LISTED_MAX,
     DaemonRevision,
-    FleetStatus,
+    DaemonRevisions,
     FleetUnknown,
     MoveUnknown,
     ResourceStatus,
@@ -23,7 +23,7 @@
 
 def fleet(*revisions):
     return index_fleet(
-        FleetStatus(
+        DaemonRevisions(
             tuple(
                 DaemonRevision(f'entry-{number}', 'de', revision)
                 for number, revision in enumerate(revisions)
--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -142,10 +142,10 @@
                 case CancelCall(call_id):
                     self._cancel(call_id)
                 case _:
-                    self.execute_other(command)
+                    self.execute_command(command)
         self._set_timer()
 
-    def execute_other(self, command: Command) -> None:
+    def execute_command(self, command: Command) -> None:
         """Execute a command that neither sends nor cancels a call."""
         raise NotImplementedError
 
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -146,7 +146,7 @@
         self.handle(CallerLeft(self.pools.now_ms()))
         self._forwarder.finish(self, None)
 
-    def execute_other(self, command: Command) -> None:
+    def execute_command(self, command: Command) -> None:
         """Request a share from a relay, or answer the caller."""
         match command:
             case SendToRelay():
--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -246,7 +246,7 @@
         if self._share.is_over:
             self._on_end()
 
-    def execute_other(self, command: Command) -> None:
+    def execute_command(self, command: Command) -> None:
         """Do nothing: results are sent by reports."""
 
     def cancel(self) -> None:
--- a/cowsliploom/rollout/__init__.py
+++ b/cowsliploom/rollout/__init__.py
@@ -11,7 +11,7 @@
 from cowsliploom.rollout._control_messages import StateSwapped as StateSwapped
 from cowsliploom.rollout._control_messages import SwapState as SwapState
 from cowsliploom.rollout._controller import Controller as Controller
-from cowsliploom.rollout._defect_test import Finding as Finding
+from cowsliploom.rollout._defect_evidence import Finding as Finding
 from cowsliploom.rollout._evidence import Evidence as Evidence
 from cowsliploom.rollout._evidence import EvidenceError as EvidenceError
 from cowsliploom.rollout._evidence import decode_evidence as decode_evidence
--- a/cowsliploom/rollout/_judge.py
+++ b/cowsliploom/rollout/_judge.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from cowsliploom.rollout._criteria import DEFAULT_CRITERIA, VetoCriteria
-from cowsliploom.rollout._defect_test import Finding
+from cowsliploom.rollout._defect_evidence import Finding
 from cowsliploom.rollout._evidence import Evidence, encode_evidence
 from cowsliploom.rollout._move_trial import MoveTrial
 from cowsliploom.rollout._moves import AnnounceFact, Move, Veto
--- a/cowsliploom/rollout/_move_trial.py
+++ b/cowsliploom/rollout/_move_trial.py
@@ -10,7 +10,7 @@
     DEFAULT_CRITERIA,
     VetoCriteria,
 )
-from cowsliploom.rollout._defect_test import DefectTests, Finding
+from cowsliploom.rollout._defect_evidence import DefectTests, Finding
 from cowsliploom.rollout._evidence import OLD_VERSION, Evidence, RowKey
 from cowsliploom.rollout._local_calls import OTHER_ROUTES, ROUTES_MAX, LocalCalls
 from cowsliploom.rollout._moves import DefectKind, Move
--- a/cowsliploom/rollout/_rollout.py
+++ b/cowsliploom/rollout/_rollout.py
@@ -14,7 +14,7 @@
 )
 from cowsliploom.rollout._controller import Controller
 from cowsliploom.rollout._criteria import DEFAULT_CRITERIA, VetoCriteria
-from cowsliploom.rollout._defect_test import Finding
+from cowsliploom.rollout._defect_evidence import Finding
 from cowsliploom.rollout._evidence import EvidenceError, decode_evidence
 from cowsliploom.rollout._judge import (
     DEFAULT_EVIDENCE_LIMITS,
--- a/cowsliploom/rollout/_route_trial.py
+++ b/cowsliploom/rollout/_route_trial.py
@@ -5,7 +5,7 @@
 from cowsliploom.rollout._baseline_rates import AllowedRates, BaselineRates
 from cowsliploom.rollout._counts import Counts
 from cowsliploom.rollout._criteria import DEFAULT_CRITERIA, VetoCriteria
-from cowsliploom.rollout._defect_test import BlocksByKind, DefectTests, Finding
+from cowsliploom.rollout._defect_evidence import BlocksByKind, DefectTests, Finding
 from cowsliploom.rollout._moves import DefectKind
 from cowsliploom.rollout._sequential import Block
 
