--- a/cowsliploom/forwarding/_dispatcher.py
+++ b/cowsliploom/forwarding/_dispatcher.py
@@ -29,6 +29,7 @@
 RETRY_SPREAD = 0.5  # spreads the retries of callers that are refused together
 LATENCY_DEFAULT_SHARE = 0.3  # of the target latency, until there are samples
 LOOP_LAG_QUANTILE = 0.8
+REPORT_LAG_QUANTILE = 0.8
 RELAY_SLOTS = 64  # relays have no slots and never count as full
 RELAYS_PER_SERVER = 12  # that call one server, a few in each data centre
 ROUTES_KEPT = 512  # bounds the latency samples kept, as routes are added and removed
@@ -86,6 +87,7 @@
         self._relays: dict[str, Server] = {}
         self._plans: dict[str, _RelayPlan] = {}
         self._loop_lag = RecentLatency(default_ms=0)
+        self._report_lag = RecentLatency(default_ms=0)
         self.calls = CallHistory()
 
     @property
@@ -102,6 +104,15 @@
         """Record by how much a timer was handled late."""
         self._loop_lag.add(max(0, lag_ms))
 
+    @property
+    def report_lag_ms(self) -> float:
+        """Typical delay between a report's due time at the relay and its arrival."""
+        return self._report_lag.quantile(REPORT_LAG_QUANTILE)
+
+    def record_report_lag(self, lag_ms: float) -> None:
+        """Record by how much a relay's first report arrived after it was due."""
+        self._report_lag.add(lag_ms)
+
     def apply_table(self, table: RouteTable) -> bool:
         """Apply a table if its version is higher; return whether it was applied."""
         if table.version <= self.table.version:
