--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -32,16 +32,13 @@
     deadlines_of,
 )
 from cowsliploom.forwarding._routes import Route
-from cowsliploom.forwarding._schedule import CallSchedule
+from cowsliploom.forwarding._schedule import CallSchedule, ReportTiming
 from cowsliploom.forwarding._servers import Server
 from cowsliploom.forwarding._sub_request import Attempt, SubRequest
 
 CAPACITY_POLL_MS = 4.0  # interval at which a server with capacity is looked for
 LINGER_MS = 300.0  # open calls may complete for this long after the reply
 CALL_TIMEOUT_MIN_MS = 2.0
-RELAY_LEAD_MIN_MS = 6.0  # a relay reports this long before missing shards are hedged
-RELAY_LEAD_SHARE_MAX = 0.5  # of the time until they are hedged
-REPORT_MIN_MS = 2.0
 
 
 class ExchangeContext(Protocol):
@@ -131,8 +128,9 @@
         self._latency = context.latency(route)
         self._schedule = CallSchedule(route, self._deadlines, self._latency)
         self._relay_shares = shares
-        self._report_after_ms: float = 0
-        self._reported_relays: set[str] = set()
+        self._report_timing = ReportTiming(
+            self._schedule.hedge_delay_ms(), context.report_lag_ms
+        )
         self._reply_policy = reply_policy or CallerReplyPolicy(
             route, sub_requests, self._deadlines, context.retry_after_ms
         )
@@ -177,10 +175,6 @@
 
     def start(self, now_ms: float) -> list[Command]:
         """Send the first calls."""
-        hedge_ms = self._schedule.hedge_delay_ms()
-        lead_ms = max(RELAY_LEAD_MIN_MS, self._context.report_lag_ms)
-        lead_ms = min(lead_ms, RELAY_LEAD_SHARE_MAX * hedge_ms)
-        self._report_after_ms = max(REPORT_MIN_MS, hedge_ms - lead_ms)
         commands: list[Command] = [
             self._send_to_relay(share, now_ms) for share in self._relay_shares
         ]
@@ -248,7 +242,9 @@
             if sub_request is None or attempt is None:
                 continue
             elapsed_ms = event.now_ms - attempt.sent_ms
-            self._record_report_lag(attempt.server.name, elapsed_ms)
+            lag_ms = self._report_timing.lag_ms(attempt.server.name, elapsed_ms)
+            if lag_ms is not None:
+                self._context.record_report_lag(lag_ms)
             attempt.server.last_received_ms = event.now_ms
             attempt.server.record_success(elapsed_ms)
             self._latency.add(elapsed_ms)
@@ -273,13 +269,6 @@
             sub_request.tried.add(server)
             sub_request.open_attempts[call_id].server.last_received_ms = event.now_ms
 
-    def _record_report_lag(self, relay: str, elapsed_ms: float) -> None:
-        """Record how late a relay's first report is, unless it came before its time."""
-        if relay not in self._reported_relays:
-            self._reported_relays.add(relay)
-            if elapsed_ms >= self._report_after_ms:
-                self._context.record_report_lag(elapsed_ms - self._report_after_ms)
-
     def _close_call(self, call_id: int) -> tuple[SubRequest | None, Attempt | None]:
         sub_request = self._calls.pop(call_id, None)
         if sub_request is None:
@@ -306,7 +295,7 @@
             self.route.name,
             fan_out.records_max if fan_out else 0,
             _call_timeout_ms(self._deadlines, now_ms),
-            self._report_after_ms,
+            self._report_timing.after_ms,
         )
 
     def _resend(self, sub_request: SubRequest, now_ms: float) -> Iterator[Command]:
--- a/cowsliploom/forwarding/_schedule.py
+++ b/cowsliploom/forwarding/_schedule.py
@@ -12,6 +12,9 @@
 HEDGE_TARGET_SHARE = 0.45  # of the target latency; a later hedge is hardly in time
 HEDGE_RETRY_MS = 8.0  # before a hedge that could not be sent is retried
 CHECK_INTERVAL_MIN_MS = 0.5
+REPORT_LEAD_MIN_MS = 6.0  # a relay reports this long before missing shards are hedged
+REPORT_LEAD_SHARE_MAX = 0.5  # of the time until they are hedged
+REPORT_MIN_MS = 2.0
 
 
 def hedge_delay_ms(route: Route, latency: RecentLatency) -> float:
@@ -81,3 +84,44 @@
             return self.deadlines.limit_ms
         hedge_at_ms = sub_request.newest_ms + hedge_ms
         return hedge_at_ms if hedge_at_ms > now_ms else now_ms + HEDGE_RETRY_MS
+
+
+class ReportTiming:
+    """Time of the relays' first reports on one request, and how late they arrive.
+
+    Parameters
+    ----------
+    hedge_delay_ms : float
+        How long a call may be open before it is hedged.
+    lag_ms : float
+        Typical delay between a report's due time and its arrival.
+
+    Notes
+    -----
+    A weak VM receives the reports of many relays one after the other. Shards whose
+    reports have not arrived by the hedge delay are hedged, answered or not.
+
+    Examples
+    --------
+    >>> timing = ReportTiming(hedge_delay_ms=60, lag_ms=15)
+    >>> timing.after_ms
+    45
+    >>> timing.lag_ms('entry-1', elapsed_ms=57), timing.lag_ms('entry-1', 80)
+    (12, None)
+    """
+
+    def __init__(self, hedge_delay_ms: float, lag_ms: float) -> None:
+        lead_ms = max(REPORT_LEAD_MIN_MS, lag_ms)
+        lead_ms = min(lead_ms, REPORT_LEAD_SHARE_MAX * hedge_delay_ms)
+        self.after_ms = max(REPORT_MIN_MS, hedge_delay_ms - lead_ms)
+        self._reported: set[str] = set()
+
+    def lag_ms(self, relay: str, elapsed_ms: float) -> float | None:
+        """Return how late a relay's first report is; None if it is not measured.
+
+        Reports with all results come before their time, later ones wait for servers.
+        """
+        if relay in self._reported:
+            return None
+        self._reported.add(relay)
+        return elapsed_ms - self.after_ms if elapsed_ms >= self.after_ms else None
