--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -4,6 +4,7 @@
 import random
 
 from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._peer_wire import UNKNOWN_AGE_MS
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._provenance import Provenance
 from cowsliploom.gateway._store_view import StoreView
@@ -50,6 +51,7 @@
         self.log = log
         self.peers = peers
         self._random = random.Random(seed)
+        self._is_watching = False
         self._is_reachable = False
         self._failures = 0
         self._needs_list = True
@@ -58,10 +60,25 @@
         """Watch until cancelled."""
         while True:
             pause_ms = IDLE_MS
-            if self.peers.watches_store():
+            is_watching = self.peers.watches_store()
+            if is_watching is not self._is_watching:
+                self._is_watching = is_watching
+                self._log_watch('watch begun' if is_watching else 'watch ended')
+            if is_watching:
                 pause_ms = await self._poll()
             await asyncio.sleep(pause_ms / MS_PER_S)
 
+    def _log_watch(self, event: str) -> None:
+        now_ms = self.peers.now_ms()
+        watched_age_ms = self.peers.watcher_liveness.age_ms(now_ms)
+        self.log.write(
+            'store',
+            event,
+            revision=self.store_view.mirror.revision,
+            confirmed_age_ms=round(self.store_view.confirmed_age_ms(now_ms)),
+            watched_age_ms=round(min(watched_age_ms, UNKNOWN_AGE_MS)),
+        )
+
     async def _request(self) -> Batch | HistoryGone | StoreUnanswered:
         if self._needs_list:
             return await self.store.list_prefix('', LIST_TIMEOUT_MS)
