--- a/cowsliploom/members/_membership_table.py
+++ b/cowsliploom/members/_membership_table.py
@@ -97,6 +97,7 @@
         self._last_seen_ms: dict[str, float] = {}
         self._members: dict[str, Member] = {}
         self._roster: Roster | None = None
+        self._own_fingerprint = fingerprint(own)
         self._fingerprints: dict[int, str] = {}
 
     def record(
@@ -157,21 +158,28 @@
             key: now_ms - self._last_seen_ms[name]
             for key, name in self._fingerprints.items()
         }
-        return MemberAges({**ages_ms, fingerprint(self.own): 0})
+        return MemberAges({**ages_ms, self._own_fingerprint: 0})
 
     def records_missing_in(
         self, ages: MemberAges, now_ms: float
     ) -> tuple[LivenessRecord, ...]:
         """Return the records of the members that a peer with these ages lacks."""
-        return tuple(
-            record
-            for record in self.liveness_records(now_ms)
-            if fingerprint(record.member) not in ages.ages_ms
+        self._expire(now_ms)
+        missing = (
+            self._fingerprints[key] for key in self._fingerprints.keys() - ages.ages_ms
+        )
+        records = tuple(
+            LivenessRecord(self._members[name], now_ms - self._last_seen_ms[name])
+            for name in sorted(missing)
         )
+        if self._own_fingerprint in ages.ages_ms:
+            return records
+        return (LivenessRecord(self.own, 0), *records)
 
     def lacks_any_of(self, ages: MemberAges, now_ms: float) -> bool:
         """Return whether a peer with these ages knows a member that is unknown here."""
-        return not ages.ages_ms.keys() <= self.member_ages(now_ms).ages_ms.keys()
+        self._expire(now_ms)
+        return bool(ages.ages_ms.keys() - self._fingerprints - {self._own_fingerprint})
 
     def census(self, now_ms: float) -> Census:
         """Return the ages alone, for a partner with the same member list."""
