--- a/cowsliploom/rollout/_states.py
+++ b/cowsliploom/rollout/_states.py
@@ -41,7 +41,7 @@
 
 def exposed_requests(state: MoveState, store_ms: float, given_ms: float) -> float:
     """Return the requests that a new version has received by its shares."""
-    if state.requests is None:
+    if state.requests is None or given_ms <= 0:
         return state.exposed
     elapsed_ms = store_ms - state.updated_ms
     return state.exposed + state.share * state.requests * elapsed_ms / given_ms
--- a/cowsliploom/rollout/tests/test_inconclusive_moves.py
+++ b/cowsliploom/rollout/tests/test_inconclusive_moves.py
@@ -101,6 +101,15 @@
     assert harness.state.share < 1
 
 
+@pytest.mark.parametrize('late_ms', [GIVEN_MS - STEP_MS, GIVEN_MS, GIVEN_MS + 2500])
+def test_move_first_seen_at_its_deadline_or_later_finishes(late_ms):
+    """The controller failed on a division by the time given, which was zero."""
+    harness = SingleControllerHarness()
+    harness.now_ms = late_ms - STEP_MS
+    harness.declare('v2').run(late_ms + 2 * GIVEN_MS)
+    assert harness.state.status is MoveStatus.FINISHED
+
+
 def test_suspect_version_with_few_calls_keeps_its_share():
     harness = SingleControllerHarness().declare('v2').run(4000)
     harness.calls = 1
