--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,16 +13,16 @@
 from review.standin.world import run_case  # noqa: E402
 
 SERVICE = 'rep-certs'
-COLD_PER_S = 20
+COLD_PER_S = 10
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5
 WARMUP_S = 3.0
-CRASHED_S = 2.0  # the backend is down
+CRASHED_S = 1.0  # the backend is down
 OUTAGE_S = 6.0  # of the store
 CRASH_AFTER_S = 1.0  # of the outage
 ROUNDS = 4
 ROUND_S = 14.0
-CLIENTS = 12  # of each gateway
+CLIENTS = 14  # of each gateway
 WINDOW_S = 1.0
 
 
@@ -69,7 +69,7 @@
 async def case(world, has_trouble: bool) -> list[str]:
     """Crash a backend several times; with the disruption the store is down then."""
     for number in range(1, 4):
-        backend = Backend(f'i-{number}', SERVICE, 'de', world.record, lambda: 0.03)
+        backend = Backend(f'i-{number}', SERVICE, 'de', world.record, lambda: 0.1)
         await backend.listen('127.0.0.1')
         backend.register(world.store)
         world.backends.append(backend)
