--- a/review/standin/backend.py
+++ b/review/standin/backend.py
@@ -37,6 +37,8 @@
         self.queue = queue
         self.born_ms = int(time.time() * 1000)
         self.cold_until = 0.0
+        self.version = 'v1'
+        self.fail_share = 0.0  # of the requests, which get a failure as answer
         self.late_share = 0.0  # of the answers, of which a second copy comes late
         self.late_copies = 0
         self.random = random.Random(name)
@@ -54,7 +56,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': state,
             'coldRemainingMs': cold_ms,
@@ -106,6 +108,9 @@
         if time.monotonic() >= end:
             self._answer(connection, render(504, self._headers(request_id)))
             return
+        if self.random.random() < self.fail_share:
+            self._answer(connection, render(500, self._headers(request_id)))
+            return
         body = f'{self.name} {request.target} {request_id}\n'.encode()
         self._answer(connection, render(200, self._headers(request_id), body))
 
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -28,7 +28,9 @@
 
     def put(self, key: str, document: dict) -> int:
         """Write as the operator or a backend does; return the revision."""
-        return self._write(key, base64.b64encode(json.dumps(document).encode()))
+        self.revision += 1
+        self._write(key, base64.b64encode(json.dumps(document).encode()))
+        return self.revision
 
     def get(self, key: str) -> dict | None:
         """Return the document of a key."""
@@ -38,9 +40,7 @@
     def delete(self, key: str) -> int:
         """Remove a key; return the revision."""
         self.revision += 1
-        del self.items[key]
-        event = {'key': key, 'revision': self.revision, 'tombstone': True}
-        self._record(event)
+        self._delete(key)
         return self.revision
 
     async def handle(self, connection: Connection, request: Message) -> None:
@@ -60,8 +60,11 @@
         body = json.dumps(document).encode()
         connection.write(render(status, {'Content-Type': 'application/json'}, body))
 
-    def _write(self, key: str, text: bytes) -> int:
-        self.revision += 1
+    def _delete(self, key: str) -> None:
+        del self.items[key]
+        self._record({'key': key, 'revision': self.revision, 'tombstone': True})
+
+    def _write(self, key: str, text: bytes) -> None:
         created = self.items.get(key, {}).get('createRevision', self.revision)
         item = {
             'key': key,
@@ -72,7 +75,6 @@
         }
         self.items[key] = item
         self._record(item)
-        return self.revision
 
     def _record(self, event: dict) -> None:
         self.history.append(event)
@@ -109,11 +111,12 @@
             item = self.items.get(row['key'])
             if row['revision'] != (item['revision'] if item else 0):
                 return 412, {'items': [item] if item else []}
+        self.revision += 1  # one for all writes of the call
         for write in call['writes']:
             self._write(write['key'], write['value'].encode())
         for key in call['deletes']:
             if key in self.items:
-                self.delete(key)
+                self._delete(key)
         return 200, {'revision': self.revision}
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
