--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""A backend starts again under its id, cold, while the platform's store is down."""
+"""Backends leave while a killed process is started again; its peer keeps them."""
 
 import asyncio
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,17 +14,19 @@
 from review.standin.world import run_case  # noqa: E402
 
 SERVICE = 'rep-certs'
-COLD_PER_S = 10
-COLD_OVERAGE = 1.5
-COLD_SLACK = 5
-WARMUP_S = 3.0
-CRASHED_S = 1.0  # the backend is down
-OUTAGE_S = 6.0  # of the store
-CRASH_AFTER_S = 1.0  # of the outage
-ROUNDS = 4
-ROUND_S = 14.0
-CLIENTS = 14  # of each gateway
-WINDOW_S = 1.0
+BACKENDS = 40
+# What each backend of a scale-in does; 6 of 40 leave. Some never report it.
+LEAVING = ('drains', 'removed', 'drains', 'drains', 'removed', 'drains')
+STEP_S = 0.1  # between two backends that leave
+LINGER_S = 10.0  # a backend serves for this long after its report or removal
+ROUNDS = 8
+START_DELAY_S = 0.3  # after which a killed process is started again
+ROUND_S = 10.0
+DRAIN_S = 3.0
+IN_TOUCH_S = 4.0
+CLIENTS = 8  # of each gateway
+WATCHER = 1  # index of the gateway that watches the store for its zone
+SEEDS = (1, 2, 3)
 
 
 def configuration() -> dict:
@@ -43,36 +46,62 @@
         'name': SERVICE,
         'healthPath': '/health',
         'maxConnections': 110,
-        'warmupS': WARMUP_S,
-        'coldPerS': COLD_PER_S,
+        'warmupS': 3.0,
+        'coldPerS': 0.0,
     }
     return {'version': 7, 'routes': [route], 'services': [service]}
 
 
-async def restart(world, backend: Backend, cold: list) -> None:
-    """Crash a backend, and start it again at its address under its id, cold."""
-    host, _, port = backend.address.rpartition(':')
-    world.record.write('crash', server=backend.name)
-    await backend.close()
-    await asyncio.sleep(CRASHED_S)
-    backend.born_ms = int(time.time() * 1000)
-    backend.cold_until = time.monotonic() + WARMUP_S
-    await backend.listen(host, int(port))
-    world.record.write('started again, cold', server=backend.name)
-    cold.append((backend, time.monotonic(), backend.cold_until))
-    await world.store.answering.wait()
-    backend.register(world.store)
-    await asyncio.sleep(max(0, backend.cold_until - time.monotonic()))
-    backend.register(world.store, sequence=2)
+class Fleet:
+    """The backends, and when each of them left."""
+
+    def __init__(self, world) -> None:
+        self.world = world
+        self.left: dict[str, float] = {}  # when the store accepted it
+        self.gone: list[Backend] = []
+        self._number = 0
+        self._closing = []
+
+    async def add(self, count: int) -> None:
+        """Start and register backends."""
+        for _ in range(count):
+            self._number += 1
+            backend = Backend(
+                f'i-{self._number}', SERVICE, 'de', self.world.record, lambda: 0.02
+            )
+            await backend.listen('127.0.0.1')
+            backend.register(self.world.store)
+            self.world.backends.append(backend)
+
+    async def scale_in(self) -> None:
+        """Let some backends leave one after the other."""
+        for manner in LEAVING:
+            await asyncio.sleep(STEP_S)
+            backend = self.world.backends.pop(0)
+            is_abrupt = manner == 'removed'
+            if is_abrupt:
+                self.world.store.delete(f'servers/{backend.name}')
+            else:
+                backend.register(self.world.store, 'draining', sequence=9)
+            self.left[backend.name] = time.monotonic()
+            self.gone.append(backend)
+            what = 'entry removed' if is_abrupt else 'draining'
+            self.world.record.write(what, server=backend.name)
+            self._closing.append(asyncio.create_task(self._close(backend)))
+
+    async def _close(self, backend: Backend) -> None:
+        await asyncio.sleep(LINGER_S)
+        key = f'servers/{backend.name}'
+        if key in self.world.store.items:
+            self.world.store.delete(key)
+        self.world.record.write('ended', server=backend.name)
+        await backend.close()
 
 
 async def case(world, has_trouble: bool) -> list[str]:
-    """Crash a backend several times; with the disruption the store is down then."""
-    for number in range(1, 4):
-        backend = Backend(f'i-{number}', SERVICE, 'de', world.record, lambda: 0.1)
-        await backend.listen('127.0.0.1')
-        backend.register(world.store)
-        world.backends.append(backend)
+    """Kill the process that watches the store, beside each scale-in."""
+    fleet = Fleet(world)
+    await fleet.add(BACKENDS)
     world.store.put('op/config', configuration())
     for gateway in world.gateways:
         await gateway.start()
@@ -80,59 +109,52 @@
         await gateway.ready()
     await asyncio.sleep(5)
     calls = Calls(world.record)
-    until = time.monotonic() + ROUNDS * ROUND_S
+    until = time.monotonic() + ROUNDS * (ROUND_S + 3)
     clients = [
         asyncio.create_task(
-            calls.keep_asking(gateway.address, '/certs/one', 6000, until, 0.05)
+            calls.keep_asking(gateway.address, '/certs/one', 6000, until, 0.1)
         )
         for gateway in world.gateways
         for _ in range(CLIENTS)
     ]
-    cold = []
-    for number in range(ROUNDS):
-        end = time.monotonic() + ROUND_S
+    for _ in range(ROUNDS):
+        leaving = asyncio.create_task(fleet.scale_in())
         if has_trouble:
-            world.record.write('store silent')
-            world.store.answering.clear()
-        await asyncio.sleep(CRASH_AFTER_S)
-        starting = asyncio.create_task(restart(world, world.backends[number % 3], cold))
-        await asyncio.sleep(OUTAGE_S - CRASH_AFTER_S)
-        world.store.answering.set()
-        world.record.write('store answers')
-        await starting
-        await asyncio.sleep(end - time.monotonic())
+            await world.gateways[WATCHER].restart(START_DELAY_S)
+        await leaving
+        await fleet.add(len(LEAVING))
+        await asyncio.sleep(ROUND_S)
     for client in clients:
         client.cancel()
     await asyncio.gather(*clients, return_exceptions=True)
-    return broken(world, cold, calls)
-
-
-def broken(world, cold: list, calls: Calls) -> list[str]:
-    """Return how FAILBACK was broken."""
-    bound = COLD_PER_S * COLD_OVERAGE + COLD_SLACK
-    lines = []
-    for backend, since, until in cold:
-        arrived = [
-            (calls.sent[request_id], at)
-            for at, request_id in backend.arrivals
-            if since <= at < until
-        ]
-        starts = [sent for sent, _ in arrived if sent >= since]
-        most = max(
-            (
-                sum(sent >= start and at < start + WINDOW_S for sent, at in arrived)
-                for start in starts
-            ),
-            default=0,
-        )
-        world.record.write('cold', server=backend.name, most_in_a_second=most)
-        sys.stdout.write(f'{backend.name} cold: at most {most} requests in a second\n')
-        if most > bound:
-            lines.append(
-                f'FAILBACK: {backend.name} got {most} in a second, not {bound}'
-            )
-    return lines
+    return broken(world, fleet, calls)
+
+
+def broken(world, fleet: Fleet, calls: Calls) -> list[str]:
+    """Return how DRAIN was broken, by machines in touch alone."""
+    touched = [at for gateway in world.gateways for at in gateway.touched]
+    late = Counter()
+    for backend in fleet.gone:
+        for at, request_id in backend.arrivals:
+            sender = calls.gateways[request_id]
+            since = at - fleet.left[backend.name]
+            # Stricter than the rule: nothing happened to any machine.
+            in_touch = not any(0 <= at - moment < IN_TOUCH_S for moment in touched)
+            if since > DRAIN_S and in_touch:
+                late[backend.name, sender] += 1
+                world.record.write(
+                    'late arrival',
+                    server=backend.name,
+                    id=request_id,
+                    sender=sender,
+                    since_s=round(since, 2),
+                )
+    sys.stdout.write(f'{len(calls.sent)} requests, {len(fleet.gone)} backends left\n')
+    return [
+        f'DRAIN: {server} got {count} requests from {sender} over {DRAIN_S} s later'
+        for (server, sender), count in late.items()
+    ]
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(case, FOLDER, ['de', 'de']))
+    sys.exit(run_case(case, FOLDER, ['de', 'de', 'gogledd', 'gogledd'], SEEDS))
