--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -5,6 +5,8 @@
 from cowsliploom.dataplane._frames import FrameConnection as FrameConnection
 from cowsliploom.dataplane._frames import FrameListener as FrameListener
 from cowsliploom.dataplane._frames import open_frame_connection as open_frame_connection
+from cowsliploom.dataplane._http_calls import Abortable as Abortable
+from cowsliploom.dataplane._http_calls import AnswerOrigin as AnswerOrigin
 from cowsliploom.dataplane._http_calls import CallResult as CallResult
 from cowsliploom.dataplane._http_calls import HttpAnswer as HttpAnswer
 from cowsliploom.dataplane._http_calls import HttpCall as HttpCall
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connections on the event loop, pooled and reused."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from functools import partial
 from typing import cast
@@ -9,6 +10,7 @@
 
 from cowsliploom.dataplane._bounds import AnswerBounds, AnswerMeter
 from cowsliploom.dataplane._http_calls import (
+    AnswerOrigin,
     CallResult,
     HttpAnswer,
     HttpCall,
@@ -157,17 +159,18 @@
 
     # Methods for the pool.
 
-    @property
-    def is_open(self) -> bool:
-        """Whether the connection can be used."""
-        return self._transport is not None and not self._transport.is_closing()
+    def is_usable(self, now_ms: float) -> bool:
+        """Return whether the connection is open and was not idle for too long."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return now_ms - self.idle_since_ms < self.idle_max_ms
 
     def send(self, call: HttpCall) -> None:
         """Send a call."""
         self._call = call
         self._stale_answers = 0
         self._meter.restart()
-        call.connection = self
+        call.start_on(self)
         if self._transport is None:
             self._fail(CallStep.SEND, 'connection closed', may_have_run=False)
         else:
@@ -213,11 +216,15 @@
         answer = HttpAnswer(
             self._parser.get_status_code(), self._headers, bytes(self._body)
         )
-        if call.matches(answer):
-            self._completed = _CompletedCall(call, answer, keep)
+        origin = call.origin_of(answer)
+        if origin is not AnswerOrigin.OTHER_CALL:
+            is_named = origin is AnswerOrigin.THIS_CALL
+            self.pool.counts['answers_unnamed'] += not is_named
+            self._completed = _CompletedCall(call, answer, keep and is_named)
             return
         self._meter.restart()
         self._stale_answers += 1
+        self.pool.counts['answers_to_other_calls'] += 1
         if not keep or self._stale_answers > STALE_ANSWERS_MAX:
             self._fail(CallStep.DECODE, 'answer to another request')
 
@@ -260,6 +267,9 @@
         Time without an acknowledgement after which the kernel closes a connection.
     bounds : AnswerBounds
         Upper bounds of one answer.
+    counts : Counter or None
+        Counts answers that are unnamed or belong to other calls, and connections that
+        were passed over; may be shared by several pools. Default a new one.
     """
 
     def __init__(
@@ -268,8 +278,10 @@
         connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
         dead_peer_timeout_ms: int = 2000,
         bounds: AnswerBounds = AnswerBounds(),  # noqa: WPS404 (frozen)
+        counts: Counter[str] | None = None,
     ) -> None:
         self.address = address
+        self.counts: Counter[str] = Counter() if counts is None else counts
         self.connect_timeout_ms = connect_timeout_ms
         self.dead_peer_timeout_ms = dead_peer_timeout_ms
         self.bounds = bounds
@@ -285,14 +297,10 @@
 
     def send(self, call: HttpCall) -> None:
         """Send a call on an idle connection or a new one."""
-        now_ms = self._loop.time() * MS_PER_S
-        while self._idle:
-            connection = self._idle.pop()
-            idle_ms = now_ms - connection.idle_since_ms
-            if connection.is_open and idle_ms < connection.idle_max_ms:
-                connection.send(call)
-                return
-            connection.close()
+        connection = self._take_idle(call)
+        if connection is not None:
+            connection.send(call)
+            return
         opening = self._loop.create_task(self._open(call))
         self._opening.add(opening)
         opening.add_done_callback(self._opening.discard)
@@ -333,6 +341,30 @@
         self._is_closed = True
         self.drop_idle()
 
+    def _take_idle(self, call: HttpCall) -> CallConnection | None:
+        """Return the newest idle connection that the call may use, or None.
+
+        If there are only idle connections that it may not use, one of them is closed,
+        so that the pool does not grow by the connection that is then opened.
+        """
+        now_ms = self._loop.time() * MS_PER_S
+        barred: list[CallConnection] = []
+        found: CallConnection | None = None
+        while self._idle and found is None:
+            connection = self._idle.pop()
+            if connection.is_usable(now_ms):
+                if call.may_use(connection):
+                    found = connection
+                else:
+                    barred.append(connection)
+            else:
+                connection.close()
+        self.counts['connections_passed_over'] += len(barred)
+        if barred and found is None:
+            barred.pop().close()
+        self._idle.extend(reversed(barred))
+        return found
+
     async def _open(self, call: HttpCall) -> None:
         try:
             host, port = split_address(self.address)
--- a/cowsliploom/dataplane/_http_calls.py
+++ b/cowsliploom/dataplane/_http_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from cowsliploom.dataplane._sockets import HeaderList
@@ -42,6 +43,14 @@
 CallResult = HttpAnswer | HttpFailure
 
 
+class AnswerOrigin(Enum):
+    """To which call a received answer belongs, as far as it can be told."""
+
+    THIS_CALL = 'names this call'
+    OTHER_CALL = 'names another call'
+    UNNAMED = 'names no call'
+
+
 class Abortable(Protocol):
     """A connection that can be reset."""
 
@@ -50,6 +59,11 @@
         ...
 
 
+def _assume_this_call(answer: HttpAnswer) -> AnswerOrigin:
+    """Attribute every answer to the open call, for peers that name no call."""
+    return AnswerOrigin.THIS_CALL
+
+
 class HttpCall:
     """One call: its request, and the callback for its result.
 
@@ -59,22 +73,41 @@
         Complete request as it is sent.
     on_result : callable
         Called once with the answer or the failure; never after a cancellation.
-    matches : callable
-        Returns whether an answer belongs to this call; other answers are skipped.
+    origin_of : callable
+        Returns to which call an answer belongs. Answers to other calls are skipped; one
+        that names no call is accepted, and its connection is not used again.
+    used_connections : set of CallConnection or None
+        Connections that carried earlier calls with the same request id, shared with
+        those calls; this call uses none of them. Default none.
     """
 
     def __init__(
         self,
         content: bytes,
         on_result: Callable[[CallResult], None],
-        matches: Callable[[HttpAnswer], bool] = bool,
+        origin_of: Callable[[HttpAnswer], AnswerOrigin] = _assume_this_call,
+        used_connections: 'set[Abortable] | None' = None,
     ) -> None:
         self.content = content
         self.on_result = on_result
-        self.matches = matches
+        self.origin_of = origin_of
         self.connection: Abortable | None = None
+        self._used_connections = set() if used_connections is None else used_connections
         self.is_ended = False
 
+    def start_on(self, connection: Abortable) -> None:
+        """Record the connection on which the call is sent."""
+        self.connection = connection
+        self._used_connections.add(connection)
+
+    def may_use(self, connection: Abortable) -> bool:
+        """Return whether no earlier call with the same id was sent on a connection.
+
+        A server may send a second copy of an answer, late. On the connection of the
+        first copy it could not be told from the answer to this call.
+        """
+        return connection not in self._used_connections
+
     def end(self, result: CallResult) -> None:
         """Report the result, unless the call has ended already."""
         if not self.is_ended:
--- a/cowsliploom/dataplane/_pools.py
+++ b/cowsliploom/dataplane/_pools.py
@@ -1,5 +1,6 @@
 """Connection pools by peer name."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from cowsliploom.dataplane._bounds import AnswerBounds
@@ -19,6 +20,7 @@
         self,
         bounds: AnswerBounds = AnswerBounds(),  # noqa: WPS404 (frozen)
     ) -> None:
+        self.counts: Counter[str] = Counter()
         self._bounds = bounds
         self._pools: dict[str, ConnectionPool] = {}
 
@@ -26,7 +28,7 @@
         """Return the pool of a name; a new pool connects to the address."""
         known = self._pools.get(name)
         if known is None:
-            known = ConnectionPool(address, bounds=self._bounds)
+            known = ConnectionPool(address, bounds=self._bounds, counts=self.counts)
             self._pools[name] = known
         return known
 
--- a/cowsliploom/dataplane/tests/test_dataplane.py
+++ b/cowsliploom/dataplane/tests/test_dataplane.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cowsliploom.dataplane import (
+    AnswerOrigin,
     ConnectionPool,
     ConnectionPools,
     HttpAnswer,
@@ -157,21 +158,26 @@
             writer.close()
 
 
-async def call(pool, matches=bool, timeout_s=1.0):
+def accept_all(answer):
+    """Attribute every answer to the open call."""
+    return AnswerOrigin.THIS_CALL
+
+
+async def call(pool, origin_of=accept_all, timeout_s=1.0):
     """Make a call and return its result."""
     done = asyncio.get_running_loop().create_future()
-    pool.send(HttpCall(b'GET / HTTP/1.1\r\n\r\n', done.set_result, matches))
+    pool.send(HttpCall(b'GET / HTTP/1.1\r\n\r\n', done.set_result, origin_of))
     return await asyncio.wait_for(done, timeout_s)
 
 
-def run_calls(scripted, count=1, matches=bool):
+def run_calls(scripted, count=1, origin_of=accept_all):
     """Return the results of consecutive calls."""
 
     async def run():
         server = await asyncio.start_server(scripted.serve, '127.0.0.1', 0)
         host, port = server.sockets[0].getsockname()
         pool = ConnectionPool(f'{host}:{port}')
-        results = [await call(pool, matches) for _ in range(count)]
+        results = [await call(pool, origin_of) for _ in range(count)]
         pool.close()
         server.close()
         return results
@@ -199,10 +205,47 @@
 def test_late_answer_to_another_request_is_skipped():
     stale = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nstale'
     scripted = ScriptedServer([stale, OK])
-    (result,) = run_calls(scripted, matches=lambda answer: answer.body == b'ok')
+
+    def origin_of(answer):
+        is_stale = answer.body == b'stale'
+        return AnswerOrigin.OTHER_CALL if is_stale else AnswerOrigin.THIS_CALL
+
+    (result,) = run_calls(scripted, origin_of=origin_of)
     assert result.body == b'ok'
 
 
+def test_connection_is_not_reused_after_an_answer_that_names_no_call():
+    """Guard against taking a late second copy of it for the answer to another call."""
+    scripted = ScriptedServer([OK], [OK])
+    results = run_calls(scripted, 2, lambda answer: AnswerOrigin.UNNAMED)
+    assert [result.body for result in results] == [b'ok', b'ok']
+    assert scripted.accepted == 2
+
+
+@pytest.mark.parametrize(('idle', 'opened'), [(1, 2), (2, 2)])
+def test_call_passes_over_connections_of_earlier_calls_of_its_request(idle, opened):
+    """Guard against a pool that grows by a connection with each sending."""
+
+    async def run():
+        scripted = ScriptedServer(*([OK] for _ in range(8)))
+        server = await asyncio.start_server(scripted.serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        pool = ConnectionPool(f'{host}:{port}')
+        await asyncio.gather(*(call(pool) for _ in range(idle)))
+        used = set()
+        for _ in range(2):
+            done = asyncio.get_running_loop().create_future()
+            content = b'GET / HTTP/1.1\r\n\r\n'
+            pool.send(HttpCall(content, done.set_result, accept_all, used))
+            await asyncio.wait_for(done, 1)
+        open_connections = len(pool)
+        pool.close()
+        server.close()
+        return len(used), scripted.accepted, open_connections
+
+    assert asyncio.run(run()) == (2, opened, idle)
+
+
 def test_answer_without_a_length_ends_with_its_connection():
     scripted = ScriptedServer(
         [b'HTTP/1.1 200 OK\r\nX: 1\r\n\r\n', b'part', b'ly'], closes=True
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -206,6 +206,8 @@
         else:
             server.is_leaving = server.is_leaving or answer.wrong_server
             server.record_shed(event.now_ms)
+            reason = f'rejected with status {answer.status}'
+            sub_request.record_failure(attempt, event.now_ms, reason)
             sub_request.discount_attempt(attempt, rejected=True)
         yield from self._resend(sub_request, event.now_ms)
 
--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -1,12 +1,13 @@
 """Calls to backend servers for an exchange, and the timer of the exchange."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from functools import partial
 from typing import Protocol
 
 from cowsliploom import platform
 from cowsliploom.dataplane import (
+    Abortable,
     AnswerBounds,
     CallResult,
     ConnectionPools,
@@ -48,6 +49,11 @@
         """Return the monotonic time in milliseconds."""
         return self.loop.time() * MS_PER_S
 
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Counts of unusual answers and passed-over connections, by kind."""
+        return self._pools.counts
+
     def send(self, server: Server, call: HttpCall) -> None:
         """Send a call to a server."""
         self._pools.get(server.name, server.record.address).send(call)
@@ -122,6 +128,7 @@
         self.body = body
         self.calls: dict[int, OpenCall] = {}
         self._machine = machine
+        self._used_connections: set[Abortable] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_ms: float = 0
 
@@ -162,7 +169,8 @@
         call = HttpCall(
             content,
             partial(self._handle_result, command.call_id),
-            partial(platform.is_answer_to, self.request_id),
+            partial(platform.answer_origin, self.request_id),
+            self._used_connections,
         )
         self.calls[command.call_id] = call
         self.pools.send(server, call)
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -236,6 +236,8 @@
     def _answer_metrics(self, request: HttpRequest) -> None:
         for kind, calls in self._store.calls.items():
             self.metrics.set_gauge(f'store_calls_{kind}', calls)
+        for kind, count in self._pools.counts.items():
+            self.metrics.set_gauge(f'backend_{kind}', count)
         self.metrics.set_gauge('open_requests', self._forwarder.open_requests)
         in_force = self._store_view.in_force(self._now_ms())
         self.metrics.set_gauge('configuration_version', in_force.version)
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -12,7 +12,7 @@
     evacuated_data_centres as evacuated_data_centres,
 )
 from cowsliploom.platform._headers import WireReply as WireReply
-from cowsliploom.platform._headers import is_answer_to as is_answer_to
+from cowsliploom.platform._headers import answer_origin as answer_origin
 from cowsliploom.platform._headers import read_answer as read_answer
 from cowsliploom.platform._headers import read_request as read_request
 from cowsliploom.platform._headers import read_request_id as read_request_id
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from cowsliploom.dataplane import HeaderList, HttpAnswer
+from cowsliploom.dataplane import AnswerOrigin, HeaderList, HttpAnswer
 from cowsliploom.forwarding import (
     BackendAnswer,
     CallerRequest,
@@ -126,12 +126,13 @@
     return f'{head}\r\n{call_headers}\r\n\r\n'.encode('latin-1') + body
 
 
-def is_answer_to(request_id: str, answer: HttpAnswer) -> bool:
-    """Return whether an answer belongs to a request; one without an id does."""
+def answer_origin(request_id: str, answer: HttpAnswer) -> AnswerOrigin:
+    """Return whether an answer names a request, another one or none."""
     for name, header in answer.headers:
         if name.lower() == REQUEST_ID:
-            return header == request_id
-    return True
+            is_same = header == request_id
+            return AnswerOrigin.THIS_CALL if is_same else AnswerOrigin.OTHER_CALL
+    return AnswerOrigin.UNNAMED
 
 
 def read_answer(answer: HttpAnswer) -> BackendAnswer:
--- a/cowsliploom/platform/tests/test_documents.py
+++ b/cowsliploom/platform/tests/test_documents.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cowsliploom.dataplane import HttpAnswer
+from cowsliploom.dataplane import AnswerOrigin, HttpAnswer
 from cowsliploom.forwarding import (
     ErrorReply,
     FanOut,
@@ -20,10 +20,10 @@
 from cowsliploom.platform import (
     DocumentError,
     SettingsError,
+    answer_origin,
     decode_configuration,
     decode_server,
     evacuated_data_centres,
-    is_answer_to,
     read_answer,
     read_request,
     render_call,
@@ -259,9 +259,17 @@
     assert (answer.ran, answer.wrong_server) == (ran, wrong_server)
 
 
-def test_answer_with_another_id_belongs_to_another_request():
-    assert is_answer_to('a', HttpAnswer(200, [('request-id', 'a')], b''))
-    assert not is_answer_to('a', HttpAnswer(200, [('Request-Id', 'b')], b''))
+@pytest.mark.parametrize(
+    ('headers', 'origin'),
+    [
+        ([('request-id', 'a')], AnswerOrigin.THIS_CALL),
+        ([('Request-Id', 'b')], AnswerOrigin.OTHER_CALL),
+        ([('Request-Id', '')], AnswerOrigin.OTHER_CALL),
+        ([('X', 'a')], AnswerOrigin.UNNAMED),
+    ],
+)
+def test_origin_of_an_answer_is_told_by_its_request_id(headers, origin):
+    assert answer_origin('a', HttpAnswer(200, headers, b'')) is origin
 
 
 def test_merged_answer_lists_signatures_and_missing_parts():
--- a/cowsliploom/standins/_fake_backend.py
+++ b/cowsliploom/standins/_fake_backend.py
@@ -115,9 +115,10 @@
         if self.faults.is_unresponsive:
             return
         target_instance = headers.get('target-instance', self.name)
+        request_id = headers.get('request-id', '')
+        echoed_id = [('Request-Id', request_id)]
         if target_instance == self.name and not self.faults.sheds:
-            self.ran.append(headers.get('request-id', ''))
-            request_id = headers.get('request-id', '')
+            self.ran.append(request_id)
             response_task = asyncio.get_running_loop().create_task(
                 self._send_endless(request, self.faults.endless)
                 if self.faults.endless
@@ -126,9 +127,9 @@
             self._running.add(response_task)
             response_task.add_done_callback(self._running.discard)
         elif target_instance == self.name:
-            request.answer(503, [('Not-Executed', '1')], b'')
+            request.answer(503, [*echoed_id, ('Not-Executed', '1')], b'')
         else:
-            request.answer(421, [('Instance-Id', self.name)], b'')
+            request.answer(421, [*echoed_id, ('Instance-Id', self.name)], b'')
 
     async def _answer(self, request: HttpRequest, request_id: str) -> None:
         await asyncio.sleep(self.faults.delay_ms / MS_PER_S)
