--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -136,7 +136,10 @@
         is_newest : bool
             Whether the source has nothing newer. Default True.
         """
+        known_revision = self.mirror.revision
         changed = self.mirror.apply(batch)
+        if batch.is_whole:
+            self._log_full_contents(batch, len(changed), known_revision, provenance)
         if is_newest:
             self.confirm(batch.revision, provenance, now_ms)
         if not changed:
@@ -235,6 +238,20 @@
         after_outage_ms = self._store_recovered_ms + EXPIRY_HOLD_MS
         return max(after_outage_ms, now_ms + EXPIRY_HOLD_MS if is_mass_expiry else 0)
 
+    def _log_full_contents(
+        self, batch: Batch, changed: int, known_revision: int, provenance: Provenance
+    ) -> None:
+        self.log.write(
+            'store',
+            'full contents',
+            revision=batch.revision,
+            known_revision=known_revision,
+            items=len(batch.items),
+            changed=changed,
+            source=provenance.source,
+            age_ms=provenance.age_ms,
+        )
+
     def _log_health_change(self, change: ServerHealthChange) -> None:
         self.log.write(
             'server',
--- a/cowsliploom/members/_mirror.py
+++ b/cowsliploom/members/_mirror.py
@@ -59,6 +59,11 @@
     mirror's revision leaves a gap: its changes are applied, but the mirror's revision
     stays.
 
+    Removals are known only after the horizon: those before it fell out of the
+    tombstones, or happened before a full batch, which does not name them. A key that is
+    missing here and not newer than the horizon was removed; a peer whose revision is
+    below the horizon needs a full batch.
+
     Examples
     --------
     >>> mirror = StoreMirror()
@@ -74,7 +79,7 @@
         self.revision = 0
         self._items: dict[str, MirrorItem] = {}
         self._tombstones: OrderedDict[str, int] = OrderedDict()
-        self._compacted_revision = 0
+        self._horizon = 0
 
     def get(self, key: str) -> MirrorItem | None:
         """Return the item of a key, or None."""
@@ -86,20 +91,24 @@
 
     def apply(self, batch: Batch) -> frozenset[str]:
         """Apply a batch and return the keys that changed."""
-        changed = {item.key for item in batch.items if self._put(item)}
+        is_listing = batch.is_whole and batch.revision >= self.revision
+        floor = 0 if is_listing else self._known_horizon
+        changed = {item.key for item in batch.items if self._put(item, floor)}
         changed.update(
             removal.key for removal in batch.removals if self._remove(removal)
         )
         if batch.is_whole:
             present = {item.key for item in batch.items}
             changed.update(self._remove_absent(present, batch.revision))
+            if batch.revision > self.revision:
+                self._horizon = max(self._horizon, batch.revision)
         if batch.is_whole or batch.since <= self.revision:
             self.revision = max(self.revision, batch.revision)
         return frozenset(changed)
 
     def changes_since(self, revision: int) -> Batch:
         """Return the changes after a revision; a full batch if they are not kept."""
-        if revision < self._compacted_revision or not revision:
+        if revision < self._horizon or not revision:
             return Batch(self.revision, tuple(self._items.values()), is_whole=True)
         items = (item for item in self._items.values() if item.revision > revision)
         removals = (
@@ -109,10 +118,21 @@
         )
         return Batch(self.revision, tuple(items), tuple(removals), since=revision)
 
-    def _put(self, item: MirrorItem) -> bool:
+    @property
+    def _known_horizon(self) -> int:
+        """Revision up to which a missing key is known to have been removed.
+
+        Removals after a gap may raise the horizon above the mirror's revision.
+        """
+        return min(self._horizon, self.revision)
+
+    def _put(self, item: MirrorItem, floor: int) -> bool:
+        """Store an item unless it is outdated; a new key must be above the floor."""
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
+        if known is None and item.revision <= floor:
+            return False
         if self._tombstones.get(item.key, 0) >= item.revision:
             return False
         self._items[item.key] = item
@@ -121,6 +141,8 @@
 
     def _remove(self, removal: Removal) -> bool:
         known = self._items.get(removal.key)
+        if known is None and removal.revision <= self._known_horizon:
+            return False
         if known is not None and known.revision > removal.revision:
             return False
         if self._tombstones.get(removal.key, 0) >= removal.revision:
@@ -130,7 +152,7 @@
         self._tombstones.move_to_end(removal.key)
         if len(self._tombstones) > TOMBSTONES_MAX:
             _, oldest = self._tombstones.popitem(last=False)
-            self._compacted_revision = max(self._compacted_revision, oldest)
+            self._horizon = max(self._horizon, oldest)
         return known is not None
 
     def _remove_absent(self, present: set[str], revision: int) -> Iterable[str]:
