--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 on the event loop: listeners for callers, connection pools to servers."""
 
 from cowsliploom.dataplane._bounds import AnswerBounds as AnswerBounds
-from cowsliploom.dataplane._client import ConnectionPool as ConnectionPool
+from cowsliploom.dataplane._connection_pool import ConnectionPool as ConnectionPool
 from cowsliploom.dataplane._frames import FrameConnection as FrameConnection
 from cowsliploom.dataplane._frames import FrameListener as FrameListener
 from cowsliploom.dataplane._frames import open_frame_connection as open_frame_connection
--- a/cowsliploom/dataplane/_client.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -1,17 +1,15 @@
-"""HTTP/1.1 client connections on the event loop, pooled and reused."""
+"""HTTP/1.1 client connection on the event loop that carries one call at a time."""
 
 import asyncio
 from collections import Counter
 from dataclasses import dataclass
-from functools import partial
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
 from cowsliploom.dataplane._bounds import AnswerBounds, AnswerMeter
 from cowsliploom.dataplane._http_calls import (
     AnswerOrigin,
-    CallResult,
     HttpAnswer,
     HttpCall,
     HttpFailure,
@@ -22,10 +20,8 @@
     set_dead_peer_timeout,
 )
 from cowsliploom.forwarding import CallStep
-from cowsliploom.protocol import split_address
 
 MS_PER_S = 1000
-CONNECT_TIMEOUT_MS = 250  # the retransmission of a lost SYN comes too late
 IDLE_GRACE_MS = 700  # connections are discarded this long before the server closes
 IDLE_DEFAULT_MS = 4000  # for servers that send no timeout in Keep-Alive
 STALE_ANSWERS_MAX = 3  # late answers to earlier requests, per connection
@@ -43,16 +39,33 @@
     keep: bool
 
 
+class ConnectionOwner(Protocol):
+    """Pool that a connection is returned to."""
+
+    address: str
+    bounds: AnswerBounds
+    counts: Counter[str]
+    dead_peer_timeout_ms: int
+
+    def release(self, connection: 'CallConnection') -> None:
+        """Return a connection to the pool for the next call."""
+        ...
+
+    def discard(self, connection: 'CallConnection') -> None:
+        """Remove a closed connection from the pool."""
+        ...
+
+
 class CallConnection(asyncio.Protocol):
     """Connection to a server that carries one call at a time.
 
     Parameters
     ----------
-    pool : ConnectionPool
+    pool : ConnectionOwner
         Pool that the connection is returned to.
     """
 
-    def __init__(self, pool: 'ConnectionPool') -> None:
+    def __init__(self, pool: ConnectionOwner) -> None:
         self.pool = pool
         self.idle_since_ms: float = 0
         self.idle_max_ms: float = IDLE_DEFAULT_MS
@@ -254,140 +267,6 @@
             call.end(HttpFailure(step, self.pool.address, reason, may_have_run))
 
 
-class ConnectionPool:
-    """Pool of the connections to one address.
-
-    Parameters
-    ----------
-    address : str
-        ``host:port`` with an IP address.
-    connect_timeout_ms : float
-        Time allowed for opening a connection.
-    dead_peer_timeout_ms : int
-        Time without an acknowledgement after which the kernel closes a connection.
-    bounds : AnswerBounds
-        Upper bounds of one answer.
-    counts : Counter or None
-        Counts answers that are unnamed or belong to other calls, and connections that
-        were passed over; may be shared by several pools. Default a new one.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
-        dead_peer_timeout_ms: int = 2000,
-        bounds: AnswerBounds = AnswerBounds(),  # noqa: WPS404 (frozen)
-        counts: Counter[str] | None = None,
-    ) -> None:
-        self.address = address
-        self.counts: Counter[str] = Counter() if counts is None else counts
-        self.connect_timeout_ms = connect_timeout_ms
-        self.dead_peer_timeout_ms = dead_peer_timeout_ms
-        self.bounds = bounds
-        self._loop = asyncio.get_running_loop()
-        self._idle: list[CallConnection] = []
-        self._opening: set[asyncio.Task[None]] = set()
-        self._all: set[CallConnection] = set()
-        self._is_closed = False
-
-    def __len__(self) -> int:
-        """Return the number of open connections."""
-        return len(self._all)
-
-    def send(self, call: HttpCall) -> None:
-        """Send a call on an idle connection or a new one."""
-        connection = self._take_idle(call)
-        if connection is not None:
-            connection.send(call)
-            return
-        opening = self._loop.create_task(self._open(call))
-        self._opening.add(opening)
-        opening.add_done_callback(self._opening.discard)
-
-    async def ask(self, content: bytes, timeout_ms: float) -> CallResult | None:
-        """Send a complete request and return its result, or None after the timeout."""
-        done: asyncio.Future[CallResult] = self._loop.create_future()
-        call = HttpCall(content, partial(_set_result, done))
-        self.send(call)
-        try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                return await done
-        except TimeoutError:
-            call.cancel()
-            return None
-
-    def release(self, connection: CallConnection) -> None:
-        """Return a connection to the pool for the next call."""
-        if self._is_closed:
-            connection.close()
-            return
-        connection.idle_since_ms = self._loop.time() * MS_PER_S
-        self._idle.append(connection)
-
-    def discard(self, connection: CallConnection) -> None:
-        """Remove a closed connection from the pool."""
-        self._all.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
-
-    def drop_idle(self) -> None:
-        """Close the connections without an open call."""
-        for connection in tuple(self._idle):
-            connection.close()
-
-    def close(self) -> None:
-        """Close idle connections now and the others after their call."""
-        self._is_closed = True
-        self.drop_idle()
-
-    def _take_idle(self, call: HttpCall) -> CallConnection | None:
-        """Return the newest idle connection that the call may use, or None.
-
-        If there are only idle connections that it may not use, one of them is closed,
-        so that the pool does not grow by the connection that is then opened.
-        """
-        now_ms = self._loop.time() * MS_PER_S
-        barred: list[CallConnection] = []
-        found: CallConnection | None = None
-        while self._idle and found is None:
-            connection = self._idle.pop()
-            if connection.is_usable(now_ms):
-                if call.may_use(connection):
-                    found = connection
-                else:
-                    barred.append(connection)
-            else:
-                connection.close()
-        self.counts['connections_passed_over'] += len(barred)
-        if barred and found is None:
-            barred.pop().close()
-        self._idle.extend(reversed(barred))
-        return found
-
-    async def _open(self, call: HttpCall) -> None:
-        try:
-            host, port = split_address(self.address)
-            async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
-                _, connection = await self._loop.create_connection(
-                    lambda: CallConnection(self), host=host, port=port
-                )
-        except OSError as error:
-            call.end(HttpFailure(CallStep.CONNECT, self.address, repr(error), False))
-            return
-        if call.is_ended:
-            self._all.add(connection)
-            self.release(connection)
-            return
-        self._all.add(connection)
-        connection.send(call)
-
-
-def _set_result(done: 'asyncio.Future[CallResult]', result: CallResult) -> None:
-    if not done.done():
-        done.set_result(result)
-
-
 def _parse_idle_max_ms(header: str, default_ms: float) -> float:
     """Return how long a connection may be idle by its ``Keep-Alive`` header."""
     for parameter in header.split(','):
--- a/cowsliploom/dataplane/_pools.py
+++ b/cowsliploom/dataplane/_pools.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from cowsliploom.dataplane._bounds import AnswerBounds
-from cowsliploom.dataplane._client import ConnectionPool
+from cowsliploom.dataplane._connection_pool import ConnectionPool
 
 
 class ConnectionPools:
--- a/tests/processes/linked_gateway.py
+++ b/tests/processes/linked_gateway.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from unittest import mock
 
-from cowsliploom.dataplane import _client
+from cowsliploom.dataplane import _connection_pool
 from cowsliploom.gateway.__main__ import main
 from cowsliploom.platform import SETTINGS_VARIABLE
 from cowsliploom.protocol import split_address
@@ -24,5 +24,5 @@
 
 
 if __name__ == '__main__':
-    with mock.patch.object(_client, 'split_address', split_linked_address):
+    with mock.patch.object(_connection_pool, 'split_address', split_linked_address):
         sys.exit(main())
