--- a/cowsliploom/cli/_explain.py
+++ b/cowsliploom/cli/_explain.py
@@ -11,6 +11,7 @@
 from cowsliploom.cli._output import render_table
 
 SERVER_HISTORY_MS = 10_000.0  # older server events rarely affect the request
+LASTING_SERVER_EVENTS = frozenset(('leaving', 'paused'))
 STATE_PARTS = ('configuration', 'members', 'store', 'isolation', 'evacuation')
 COMMON_FIELDS = frozenset(('now_ms', 'part', 'event', 'request_id'))
 
@@ -114,18 +115,28 @@
 
 
 def _relevant_lines(request: LogLine, before: list[LogLine]) -> list[LogLine]:
-    """Return the current state lines and recent server events of missing services."""
-    latest_state: dict[str, LogLine] = {}
-    servers = []
-    since_ms = request['now_ms'] - request.get('elapsed_ms', 0) - SERVER_HISTORY_MS
+    """Return the state lines and the server events that explain a request.
+
+    These are the latest line of each part of the state, the recent events of the
+    missing services' servers, and what these servers last asked for, however old.
+    """
+    latest_state = {
+        line['part']: line for line in before if line['part'] in STATE_PARTS
+    }
     services = {missing.split()[0] for missing in request.get('missing', ())}
-    for line in before:
-        if line['part'] in STATE_PARTS:
-            latest_state[line['part']] = line
-        elif line['part'] == 'server' and line['now_ms'] >= since_ms:
-            if line.get('service') in services:
-                servers.append(line)
-    return [*latest_state.values(), *servers]
+    of_servers = [
+        line
+        for line in before
+        if line['part'] == 'server' and line.get('service') in services
+    ]
+    since_ms = request['now_ms'] - request.get('elapsed_ms', 0) - SERVER_HISTORY_MS
+    recent = [line for line in of_servers if line['now_ms'] >= since_ms]
+    lasting = {
+        line.get('server', ''): line
+        for line in of_servers
+        if line['now_ms'] < since_ms and line['event'] in LASTING_SERVER_EVENTS
+    }
+    return [*latest_state.values(), *lasting.values(), *recent]
 
 
 def _reports_lost_lines(line: LogLine) -> bool:
--- a/cowsliploom/cli/tests/test_explain.py
+++ b/cowsliploom/cli/tests/test_explain.py
@@ -16,6 +16,13 @@
         'service': 's0',
         'server': 'i-0',
     },
+    {
+        'now_ms': 1600.0,
+        'part': 'server',
+        'event': 'leaving',
+        'service': 's1',
+        'server': 'i-7',
+    },
     {'now_ms': 20_000.0, 'part': 'configuration', 'event': 'taken', 'version': 7},
     {
         'now_ms': 20_100.0,
@@ -63,7 +70,8 @@
 def test_trace_has_current_state_and_relevant_server_events_in_order(log):
     ended = run('explain', 'r-1', str(log))
     rows = [line.split() for line in ended.stdout.splitlines()]
-    assert [row[:3] for row in rows[2:6]] == [
+    assert [row[:3] for row in rows[2:7]] == [
+        ['18800.0', 'server', 'leaving'],
         ['400.0', 'configuration', 'taken'],
         ['300.0', 'server', 'rests'],
         ['100.0', 'store', 'lost'],
--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -8,6 +8,7 @@
 from cowsliploom.dataplane._http_calls import Abortable as Abortable
 from cowsliploom.dataplane._http_calls import AnswerOrigin as AnswerOrigin
 from cowsliploom.dataplane._http_calls import CallResult as CallResult
+from cowsliploom.dataplane._http_calls import HeadWatch as HeadWatch
 from cowsliploom.dataplane._http_calls import HttpAnswer as HttpAnswer
 from cowsliploom.dataplane._http_calls import HttpCall as HttpCall
 from cowsliploom.dataplane._http_calls import HttpFailure as HttpFailure
--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -10,6 +10,7 @@
 from cowsliploom.dataplane._bounds import AnswerBounds, AnswerMeter
 from cowsliploom.dataplane._http_calls import (
     AnswerOrigin,
+    HeadWatch,
     HttpAnswer,
     HttpCall,
     HttpFailure,
@@ -46,6 +47,7 @@
     bounds: AnswerBounds
     counts: Counter[str]
     dead_peer_timeout_ms: int
+    head_watch: HeadWatch
 
     def release(self, connection: 'CallConnection') -> None:
         """Return a connection to the pool for the next call."""
@@ -78,6 +80,7 @@
         self._body = bytearray()
         self._is_head_complete = False
         self._has_framing = False
+        self._has_watched_header = False
         self._stale_answers = 0
         self._completed: _CompletedCall | None = None
         self._has_trailing_bytes = False
@@ -131,6 +134,7 @@
             return
         self._is_head_complete = False
         self._has_framing = False
+        self._has_watched_header = False
         self._headers = []
         self._length_bytes = 0
         self._body = bytearray()
@@ -147,12 +151,16 @@
                 self._length_bytes = int(text)
             case 'transfer-encoding':
                 self._has_framing = True
+            case watched if watched in self.pool.head_watch.names:
+                self._has_watched_header = True
         self._headers.append((key, text))
 
     def on_headers_complete(self) -> None:
         """Count the following bytes as body, unless this was an interim answer."""
         status = self._parser.get_status_code()
         self._is_head_complete = status >= FINAL_STATUS_MIN
+        if self._has_watched_header:
+            self.pool.head_watch.on_head(status, self._headers)
         if status in BODILESS_STATUSES:
             self._meter.begin_body(0)
         elif self._is_head_complete:
--- a/cowsliploom/dataplane/_connection_pool.py
+++ b/cowsliploom/dataplane/_connection_pool.py
@@ -6,7 +6,13 @@
 
 from cowsliploom.dataplane._bounds import AnswerBounds
 from cowsliploom.dataplane._call_connection import MS_PER_S, CallConnection
-from cowsliploom.dataplane._http_calls import CallResult, HttpCall, HttpFailure
+from cowsliploom.dataplane._http_calls import (
+    NO_HEAD_WATCH,
+    CallResult,
+    HeadWatch,
+    HttpCall,
+    HttpFailure,
+)
 from cowsliploom.forwarding import CallStep
 from cowsliploom.protocol import split_address
 
@@ -26,6 +32,8 @@
         Time without an acknowledgement after which the kernel closes a connection.
     bounds : AnswerBounds
         Upper bounds of one answer.
+    head_watch : HeadWatch
+        Receives the heads of certain answers. Default none.
     counts : Counter or None
         Counts answers that are unnamed or belong to other calls, and connections that
         were passed over; may be shared by several pools. Default a new one.
@@ -37,6 +45,7 @@
         connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
         dead_peer_timeout_ms: int = 2000,
         bounds: AnswerBounds = AnswerBounds(),  # noqa: WPS404 (frozen)
+        head_watch: HeadWatch = NO_HEAD_WATCH,
         counts: Counter[str] | None = None,
     ) -> None:
         self.address = address
@@ -44,6 +53,7 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.dead_peer_timeout_ms = dead_peer_timeout_ms
         self.bounds = bounds
+        self.head_watch = head_watch
         self._loop = asyncio.get_running_loop()
         self._idle: list[CallConnection] = []
         self._opening: set[asyncio.Task[None]] = set()
--- a/cowsliploom/dataplane/_http_calls.py
+++ b/cowsliploom/dataplane/_http_calls.py
@@ -43,6 +43,32 @@
 CallResult = HttpAnswer | HttpFailure
 
 
+@dataclass(frozen=True, slots=True)
+class HeadWatch:
+    """Report the heads of answers that have certain headers.
+
+    Heads are reported as soon as they are read, so also those of answers that break off
+    or that no call waits for.
+
+    Parameters
+    ----------
+    names : frozenset of str
+        Names of the headers, in lower case.
+    on_head : callable
+        Called with the status and all headers of an answer that has one of them.
+    """
+
+    names: frozenset[str]
+    on_head: Callable[[int, HeaderList], None]
+
+
+def _ignore_head(status: int, headers: HeaderList) -> None:
+    """Ignore the head of an answer."""
+
+
+NO_HEAD_WATCH = HeadWatch(frozenset(), _ignore_head)
+
+
 class AnswerOrigin(Enum):
     """To which call a received answer belongs, as far as it can be told."""
 
--- a/cowsliploom/dataplane/_pools.py
+++ b/cowsliploom/dataplane/_pools.py
@@ -1,14 +1,18 @@
-"""Connection pools by peer name."""
+"""Connection pools by peer."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
+from typing import Generic, TypeVar
 
 from cowsliploom.dataplane._bounds import AnswerBounds
 from cowsliploom.dataplane._connection_pool import ConnectionPool
+from cowsliploom.dataplane._http_calls import NO_HEAD_WATCH, HeadWatch
 
+Peer = TypeVar('Peer', bound=Hashable)
 
-class ConnectionPools:
-    """One connection pool for each requested name, until it is no longer needed.
+
+class ConnectionPools(Generic[Peer]):
+    """One connection pool for each requested peer, until it is no longer needed.
 
     Parameters
     ----------
@@ -22,21 +26,42 @@
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._bounds = bounds
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools: dict[Peer, ConnectionPool] = {}
+
+    def get(
+        self,
+        peer: Peer,
+        address: str,
+        watch_heads: Callable[[Peer], HeadWatch] | None = None,
+    ) -> ConnectionPool:
+        """Return the pool of a peer; a new pool connects to the address.
 
-    def get(self, name: str, address: str) -> ConnectionPool:
-        """Return the pool of a name; a new pool connects to the address."""
-        known = self._pools.get(name)
+        Parameters
+        ----------
+        peer : Peer
+            Peer to connect to.
+        address : str
+            Its address.
+        watch_heads : callable or None
+            Returns the watch on the heads of its answers. Default none.
+        """
+        known = self._pools.get(peer)
         if known is None:
-            known = ConnectionPool(address, bounds=self._bounds, counts=self.counts)
-            self._pools[name] = known
+            head_watch = watch_heads(peer) if watch_heads else NO_HEAD_WATCH
+            known = ConnectionPool(
+                address,
+                bounds=self._bounds,
+                head_watch=head_watch,
+                counts=self.counts,
+            )
+            self._pools[peer] = known
         return known
 
-    def keep(self, is_needed: Callable[[str], bool]) -> None:
-        """Close the pools whose names are no longer needed."""
-        unneeded = [name for name in self._pools if not is_needed(name)]
-        for name in unneeded:
-            self._pools.pop(name).close()
+    def keep(self, is_needed: Callable[[Peer], bool]) -> None:
+        """Close the pools of the peers that are no longer needed."""
+        unneeded = [peer for peer in self._pools if not is_needed(peer)]
+        for peer in unneeded:
+            self._pools.pop(peer).close()
 
     def drop_idle(self) -> None:
         """Close all connections without an open call."""
--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -60,6 +60,7 @@
 from cowsliploom.forwarding._routes import RouteTable as RouteTable
 from cowsliploom.forwarding._routes import ServiceRules as ServiceRules
 from cowsliploom.forwarding._routes import WeightedService as WeightedService
+from cowsliploom.forwarding._server_notices import ServerNotice as ServerNotice
 from cowsliploom.forwarding._servers import LoadReport as LoadReport
 from cowsliploom.forwarding._servers import Server as Server
 from cowsliploom.forwarding._servers import ServerHealthChange as ServerHealthChange
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from cowsliploom.forwarding._call_history import CallHistory
-from cowsliploom.forwarding._fleet import CallLimits, Fleet
+from cowsliploom.forwarding._fleet import Fleet
 from cowsliploom.forwarding._latency import RecentLatency
 from cowsliploom.forwarding._messages import (
     CallAnswered,
@@ -33,6 +33,7 @@
 )
 from cowsliploom.forwarding._routes import Route
 from cowsliploom.forwarding._schedule import CallSchedule, ReportTiming
+from cowsliploom.forwarding._server_choice import CallLimits
 from cowsliploom.forwarding._servers import Server
 from cowsliploom.forwarding._sub_request import Attempt, SubRequest
 
@@ -204,7 +205,7 @@
             self._context.calls.add(attempt, self.route.name, event.now_ms, ok=False)
             sub_request.failure = sub_request.failure or answer
         else:
-            server.is_leaving = server.is_leaving or answer.wrong_server
+            server.is_replaced = server.is_replaced or answer.wrong_server
             server.record_shed(event.now_ms)
             reason = f'rejected with status {answer.status}'
             sub_request.record_failure(attempt, event.now_ms, reason)
@@ -344,12 +345,13 @@
     def _wait_for_capacity(self, sub_request: SubRequest, now_ms: float) -> None:
         """Wait for a server with capacity, or end if no server is usable."""
         request_id = self.request.request_id
-        if self._context.fleet.has_usable(
-            sub_request.service, sub_request.tried, request_id
-        ):
+        fleet = self._context.fleet
+        service, tried = sub_request.service, sub_request.tried
+        if fleet.has_usable(service, tried, now_ms, request_id):
             sub_request.next_send_ms = now_ms + CAPACITY_POLL_MS
         else:
-            sub_request.end('no server')
+            no_server = fleet.why_no_server(service, tried, now_ms)
+            sub_request.end(no_server.reason, no_server.retry_after_ms)
 
     def _send_due(self, now_ms: float) -> Iterator[Command]:
         """Send each sub-request that waited for capacity or is due for a hedge."""
--- a/cowsliploom/forwarding/_relayed.py
+++ b/cowsliploom/forwarding/_relayed.py
@@ -1,5 +1,6 @@
 """Share of a query that one entry VM relays for another."""
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from cowsliploom.forwarding._exchange import Exchange, ExchangeContext
@@ -47,10 +48,13 @@
     records : bytes
         Greatest records of their answers, greatest first. They are merged, so the
         report is valid only as a whole.
+    leaving : tuple of str
+        Servers called for these shards that have said that they leave.
     """
 
     parts: tuple[RelayedPart, ...]
     records: bytes
+    leaving: tuple[str, ...] = ()
 
 
 class _ShareReplyPolicy:
@@ -101,6 +105,7 @@
         sub_requests: tuple[SubRequest, ...],
         report_ms: float,
     ) -> None:
+        self._fleet = context.fleet
         self._sub_requests = sub_requests
         self._report_ms = report_ms
         self._records_max = route.fan_out.records_max if route.fan_out else 0
@@ -153,8 +158,17 @@
         return RelayReport(
             tuple(_part_of(sub_request) for sub_request in unreported),
             merge_records(bodies, self._records_max),
+            tuple(self._leaving_servers(unreported)),
         )
 
+    def _leaving_servers(self, sub_requests: Iterable[SubRequest]) -> Iterator[str]:
+        """Return the servers called that have said that they leave."""
+        for sub_request in sub_requests:
+            for name in sub_request.tried:
+                server = self._fleet.get(name)
+                if server is not None and server.standing.is_leaving:
+                    yield name
+
     def _unreported(self) -> list[SubRequest]:
         return [
             sub_request
--- a/cowsliploom/forwarding/_reply_policy.py
+++ b/cowsliploom/forwarding/_reply_policy.py
@@ -14,6 +14,7 @@
 )
 from cowsliploom.forwarding._records import merge_records
 from cowsliploom.forwarding._routes import FanOut, Route
+from cowsliploom.forwarding._server_notices import RETURN_SPREAD_SHARE
 from cowsliploom.forwarding._sub_request import SubRequest
 
 ANSWER_MARGIN_MS = 3.0  # for merging and writing the answer
@@ -113,7 +114,7 @@
         else:
             reply = self._merged_reply(fan_out, now_ms)
         if reply is None and now_ms >= self.deadlines.limit_ms:
-            return self._timeout_reply()
+            return self._timeout_reply(now_ms)
         return reply
 
     def _single_reply(self, sub_request: SubRequest, now_ms: float) -> Reply | None:
@@ -123,9 +124,9 @@
             failure = sub_request.failure
             if failure is not None and _may_forward(failure):
                 return ForwardedAnswer(failure)
-            return self._error_reply(sub_request.end_reason)
+            return self._error_reply(sub_request.end_reason, now_ms)
         if sub_request.sends == 0 and now_ms >= self.deadlines.send_limit_ms:
-            return self._error_reply('no server had capacity')
+            return self._error_reply('no server had capacity', now_ms)
         return None
 
     def _merged_reply(self, fan_out: FanOut, now_ms: float) -> Reply | None:
@@ -135,7 +136,7 @@
         if counts.answered >= required and is_due_now:
             return self._merge(fan_out.records_max)
         if counts.answered + counts.pending < required:
-            return self._error_reply('too many shards without a server')
+            return self._error_reply('too many shards without a server', now_ms)
         return None
 
     def _merge(self, records_max: int) -> MergedAnswer:
@@ -150,15 +151,28 @@
             merge_records((part.body for part in parts), records_max),
         )
 
-    def _error_reply(self, reason: str) -> ErrorReply:
+    def _error_reply(self, reason: str, now_ms: float) -> ErrorReply:
         if any(sub_request.may_have_run for sub_request in self.sub_requests):
             return ErrorReply(Outcome.FAILED, reason)
-        return ErrorReply(Outcome.REFUSED, reason, self.retry_after_ms(RETRY_AFTER_MS))
-
-    def _timeout_reply(self) -> ErrorReply:
+        return ErrorReply(Outcome.REFUSED, reason, self._retry_after_ms(now_ms))
+
+    def _retry_after_ms(self, now_ms: float) -> float:
+        """Return when a refused caller may try again.
+
+        If servers asked for pauses, that is after those that the request waits for,
+        unless its caller has given up by then: another entry VM may still serve it.
+        """
+        pauses_ms = (sub_request.retry_after_ms for sub_request in self.sub_requests)
+        pause_ms = max((pause for pause in pauses_ms if pause is not None), default=0)
+        if not pause_ms or now_ms + pause_ms >= self.deadlines.end_ms:
+            return self.retry_after_ms(RETRY_AFTER_MS)
+        spread_ms = min(RETRY_AFTER_MS, pause_ms * RETURN_SPREAD_SHARE)
+        return pause_ms + self.retry_after_ms(spread_ms)
+
+    def _timeout_reply(self, now_ms: float) -> ErrorReply:
         if any(sub_request.may_have_run for sub_request in self.sub_requests):
             return ErrorReply(Outcome.TIMED_OUT, 'no answer in time')
-        return self._error_reply('no server had capacity in time')
+        return self._error_reply('no server had capacity in time', now_ms)
 
 
 def _may_forward(failure: BackendAnswer) -> bool:
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cowsliploom.forwarding._server_notices import ServerNotice, StandingNotice
+
 LOAD_FRESH_MS = 250.0  # older load reports are ignored
 LATENCY_SHARE = 0.1  # weight of the newest sample in the mean
 STALL_RATIO = 3.0  # of the mean; a call open for longer suggests a paused server
@@ -59,6 +61,15 @@
     born_ms: float = 0
 
 
+def is_restarted(known: ServerRecord, record: ServerRecord) -> bool:
+    """Return whether the server restarted, or moved to another address or service."""
+    moved = (known.address, known.service) != (record.address, record.service)
+    restarted = record.born_ms > known.born_ms or (
+        record.born_ms == known.born_ms and record.sequence < known.sequence
+    )
+    return moved or restarted
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load that a backend server reported with an answer."""
@@ -132,8 +143,10 @@
         self.failure = ''
         self.error_share: float = 0
         self.shed_share: float = 0
-        self.is_leaving = False
+        self.standing = StandingNotice()
+        self.is_replaced = False
         self.is_gone = False
+        self._problem = ''
         self.last_received_ms = float('-inf')
         self._failed_ms = float('-inf')
         self.full_until_ms = float('-inf')
@@ -145,9 +158,14 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether new requests may be sent to the server."""
+        """Whether new requests may be sent to the server, unless it asked for a pause.
+
+        Not to one that is draining, has said that it leaves, is gone, or whose address
+        answers for another server.
+        """
         ready = self.record.state is ServerState.READY
-        return ready and not self.is_leaving and not self.is_gone
+        unusable = self.standing.is_leaving or self.is_replaced or self.is_gone
+        return ready and not unusable
 
     def update_record(self, record: ServerRecord, now_ms: float) -> None:
         """Apply a newer registration of the same incarnation."""
@@ -187,6 +205,32 @@
         sent_ms = next(iter(self.open_calls.values()))
         return self.last_received_ms < sent_ms and now_ms - sent_ms > for_ms
 
+    def apply_notice(self, notice: ServerNotice, now_ms: float, spread: float) -> None:
+        """Apply a notice that the server sent with an answer.
+
+        Parameters
+        ----------
+        notice : ServerNotice
+            The notice.
+        now_ms : float
+            When it was received.
+        spread : float
+            Random position from 0 to 1, which spreads the return of the entry VMs.
+        """
+        known = self.standing
+        self.standing = known.updated(notice, now_ms, spread)
+        if self.standing.is_leaving and not known.is_leaving:
+            self._notify(self._health_change('leaving', 0))
+        if self.standing.is_paused(now_ms) and not known.is_paused(now_ms):
+            pause_ms = round(self.standing.paused_until_ms - now_ms)
+            self._notify(self._health_change('paused', pause_ms))
+        if notice.problem != self._problem:
+            self._problem = notice.problem
+            if notice.problem:
+                self._notify(
+                    self._health_change('notice unreadable', 0, notice.problem)
+                )
+
     def add_call(self, call_id: int, now_ms: float) -> None:
         """Add an open call."""
         self.open_calls[call_id] = now_ms
@@ -281,7 +325,9 @@
         self.error_share += (1 - self.error_share) * ERROR_SHARE
         return True
 
-    def _health_change(self, health: str, for_ms: float) -> ServerHealthChange:
+    def _health_change(
+        self, health: str, for_ms: float, reason: str = ''
+    ) -> ServerHealthChange:
         return ServerHealthChange(
             self.name,
             self.record.service,
@@ -289,7 +335,7 @@
             self.failures,
             round(self.mean_ms, 1),
             for_ms,
-            self.failure,
+            reason or self.failure,
         )
 
     def _freshness(self, now_ms: float) -> float:
--- a/cowsliploom/forwarding/_sub_request.py
+++ b/cowsliploom/forwarding/_sub_request.py
@@ -77,6 +77,7 @@
         self.part: BackendAnswer | None = None
         self.failure: BackendAnswer | None = None
         self.end_reason = ''
+        self.retry_after_ms: float | None = None
         self.last_failure = ''
         self.denial_reason = ''
 
@@ -129,9 +130,18 @@
         if not self.open_attempts:
             self.end(reason)
 
-    def end(self, reason: str) -> None:
-        """End the sub-request without an answer."""
+    def end(self, reason: str, retry_after_ms: float | None = None) -> None:
+        """End the sub-request without an answer.
+
+        Parameters
+        ----------
+        reason : str
+            Why there is none.
+        retry_after_ms : float or None
+            Time after which a server may be called again, if that is known.
+        """
         if self.is_open:
+            self.retry_after_ms = retry_after_ms
             self.is_open = False
             self.end_reason = reason
             self.counts.failed += 1
--- a/cowsliploom/forwarding/tests/test_moves.py
+++ b/cowsliploom/forwarding/tests/test_moves.py
@@ -13,7 +13,7 @@
     VersionSplit,
 )
 from cowsliploom.forwarding._call_history import CALLS_KEPT, SERVICES_KEPT
-from cowsliploom.forwarding._fleet import CallLimits
+from cowsliploom.forwarding._server_choice import CallLimits
 from cowsliploom.forwarding._sub_request import Attempt
 
 LIMITS = CallLimits(median_ms=10, calls_max=10_000)
@@ -52,7 +52,7 @@
     fleet = fleet_of(record('a', 'v1'), record('c', 'v2'))
     fleet.split('s', VersionSplit('v2', share))
     assert versions(fleet, tried=('a',)) == []
-    assert not fleet.has_usable('s', ('a',))
+    assert not fleet.has_usable('s', ('a',), 0)
 
 
 OUT = {
--- a/cowsliploom/forwarding/tests/test_parts.py
+++ b/cowsliploom/forwarding/tests/test_parts.py
@@ -18,7 +18,7 @@
     count_unreachable_routes,
     merge_records,
 )
-from cowsliploom.forwarding._fleet import CallLimits
+from cowsliploom.forwarding._server_choice import CallLimits
 from cowsliploom.forwarding._weights import WeightedRoundRobin
 from cowsliploom.forwarding.tests.dispatcher_harness import (
     SHARDS,
@@ -131,7 +131,7 @@
     dispatcher = make_dispatcher()
     dispatcher.fleet.update([record('one-0', 'one')], 10)
     assert len(dispatcher.fleet) == 1
-    assert not dispatcher.fleet.has_usable(SHARDS[0], ())
+    assert not dispatcher.fleet.has_usable(SHARDS[0], (), 0)
 
 
 def test_route_is_unreachable_if_too_many_shards_have_no_server():
--- a/cowsliploom/forwarding/tests/test_relay.py
+++ b/cowsliploom/forwarding/tests/test_relay.py
@@ -18,6 +18,7 @@
     RouteTable,
     SendCall,
     SendToRelay,
+    ServerNotice,
     ServiceRules,
     plan_relays,
     plan_remote_relays,
@@ -230,17 +231,17 @@
     assert cancelled == ids
 
 
-def make_share(report_ms=40):
+def make_share(report_ms=40, dispatcher=None):
     """Return a share of three shards, as a relay runs it."""
-    dispatcher = make_wide_dispatcher(())
+    dispatcher = dispatcher or make_wide_dispatcher(())
     request = CallerRequest('r1', '', '', '', (), b'', 0, 1000)
     fan_out = FanOut(SHARDS[:3], 4, 0)
     return dispatcher.open_share(request, 'many', fan_out, report_ms)
 
 
-def start_share(report_ms=40):
+def start_share(report_ms=40, dispatcher=None):
     """Return a share and its calls by shard."""
-    share = make_share(report_ms)
+    share = make_share(report_ms, dispatcher)
     driver = RequestDriver(share)
     driver.collect(share.start(0))
     return (
@@ -366,3 +367,14 @@
     """Whole shares were hedged: 23 of 135 shards, though 7 were slow."""
     hedges, slow_shards = hedges_with_reports_late_by(lag_ms)
     assert hedges <= slow_shards
+
+
+def test_relay_reports_servers_that_leave():
+    """Guard against a direct call of a server that left by its word to a relay."""
+    dispatcher = make_wide_dispatcher(())
+    share, driver, calls = start_share(dispatcher=dispatcher)
+    notice = ServerNotice(is_leaving=True)
+    dispatcher.fleet.apply_notice(calls['k01'].server, notice, 5)
+    for call in calls.values():
+        driver.answer(call.call_id, 10, good(b'a' * 16))
+    assert share.report(10).leaving == (calls['k01'].server.name,)
--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -11,6 +11,8 @@
     AnswerBounds,
     CallResult,
     ConnectionPools,
+    HeaderList,
+    HeadWatch,
     HttpAnswer,
     HttpCall,
 )
@@ -23,10 +25,12 @@
     RequestDispatcher,
     SendCall,
     Server,
+    ServerNotice,
     Ticked,
 )
 
 MS_PER_S = 1000
+LEAVING_NOTICE = ServerNotice(is_leaving=True)
 # The same limit as for a relay's report, which is one frame.
 SERVER_BOUNDS = AnswerBounds(body_bytes_max=4_000_000)
 
@@ -34,6 +38,8 @@
 class ServerPools:
     """Manage the connections to backend servers, one pool per incarnation.
 
+    A server that starts anew under its name is another incarnation, with another pool.
+
     Parameters
     ----------
     dispatcher : RequestDispatcher
@@ -43,7 +49,7 @@
     def __init__(self, dispatcher: RequestDispatcher) -> None:
         self.dispatcher = dispatcher
         self.loop = asyncio.get_running_loop()
-        self._pools = ConnectionPools(SERVER_BOUNDS)
+        self._pools: ConnectionPools[Server] = ConnectionPools(SERVER_BOUNDS)
 
     def now_ms(self) -> float:
         """Return the monotonic time in milliseconds."""
@@ -56,16 +62,34 @@
 
     def send(self, server: Server, call: HttpCall) -> None:
         """Send a call to a server."""
-        self._pools.get(server.name, server.record.address).send(call)
+        pool = self._pools.get(server, server.record.address, self._watch_heads)
+        pool.send(call)
+
+    def record_leaving(self, names: Iterable[str]) -> None:
+        """Record servers that leave, as another entry VM has heard from them."""
+        fleet = self.dispatcher.fleet
+        for name in names:
+            server = fleet.get(name)
+            if server is not None and not server.standing.is_leaving:
+                fleet.apply_notice(server, LEAVING_NOTICE, self.now_ms())
 
     def close_removed(self) -> None:
         """Close the connections to servers that are no longer in the fleet."""
-        self._pools.keep(lambda name: self.dispatcher.fleet.get(name) is not None)
+        fleet = self.dispatcher.fleet
+        self._pools.keep(lambda server: fleet.get(server.name) is server)
 
     def close_idle(self) -> None:
         """Close the connections without an open call."""
         self._pools.drop_idle()
 
+    def _watch_heads(self, server: Server) -> HeadWatch:
+        return HeadWatch(platform.NOTICE_HEADERS, partial(self._read_head, server))
+
+    def _read_head(self, server: Server, status: int, headers: HeaderList) -> None:
+        notice = platform.read_notice(status, headers)
+        if notice is not None:
+            self.dispatcher.fleet.apply_notice(server, notice, self.now_ms())
+
 
 class CallStateMachine(Protocol):
     """Sans-IO state machine that decides on calls: an exchange or a relayed share."""
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -238,6 +238,9 @@
             self.metrics.set_gauge(f'store_calls_{kind}', calls)
         for kind, count in self._pools.counts.items():
             self.metrics.set_gauge(f'backend_{kind}', count)
+        notices = self._dispatcher.fleet.notices
+        for kind, count in notices.counts.items():
+            self.metrics.set_gauge(f'server_notices_{kind}', count)
         self.metrics.set_gauge('open_requests', self._forwarder.open_requests)
         in_force = self._store_view.in_force(self._now_ms())
         self.metrics.set_gauge('configuration_version', in_force.version)
--- a/cowsliploom/gateway/_peer_calls.py
+++ b/cowsliploom/gateway/_peer_calls.py
@@ -42,7 +42,9 @@
         self.log = log
         self.metrics = metrics
         self.now_ms = now_ms
-        self.pools = ConnectionPools(AnswerBounds(body_bytes_max=MESSAGE_BYTES_MAX))
+        self.pools: ConnectionPools[str] = ConnectionPools(
+            AnswerBounds(body_bytes_max=MESSAGE_BYTES_MAX)
+        )
 
     async def call(self, address: str, message: PeerMessage) -> PeerMessage | None:
         """Send a message; return the peer's answer, or None if there is none.
--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -86,6 +86,7 @@
     def handle_report(self, report: RelayReport) -> None:
         """Handle the results of some shards."""
         now_ms = self.runner.pools.now_ms()
+        self.runner.pools.record_leaving(report.leaving)
         known = [part for part in report.parts if part.shard in self._open_calls]
         ids = {part.shard: self._open_calls.pop(part.shard) for part in known}
         for call_id in ids.values():
--- a/cowsliploom/gateway/tests/test_move_tracker.py
+++ b/cowsliploom/gateway/tests/test_move_tracker.py
@@ -4,7 +4,7 @@
 import pytest
 
 from cowsliploom.forwarding import VersionSplit
-from cowsliploom.forwarding._fleet import CallLimits
+from cowsliploom.forwarding._server_choice import CallLimits
 from cowsliploom.gateway.tests.test_store_view import STORE, make_store_view, server
 from cowsliploom.members import Batch, MirrorItem, Removal
 
--- a/cowsliploom/gateway/tests/test_relay_wire.py
+++ b/cowsliploom/gateway/tests/test_relay_wire.py
@@ -15,7 +15,8 @@
     encode_frame,
 )
 
-REPORT = RelayReport((RelayedPart('s1', 'sig', may_have_run=True),), b'\x00\xff' * 8)
+PARTS = (RelayedPart('s1', 'sig', may_have_run=True),)
+REPORT = RelayReport(PARTS, b'\x00\xff' * 8, ('i-1',))
 FRAMES = (
     ShareRequest(
         1, 'r-1', 'wide', 'GET / HTTP/1.1', b'\xff', ('s1', 's2'), 50, 900.0, 40.0
@@ -39,3 +40,8 @@
 @pytest.mark.parametrize('content', [b'', b'\x91\xa3ask', msgspec.msgpack.encode(3)])
 def test_malformed_frame_decodes_to_none(content):
     assert decode_frame(content) is None
+
+
+def test_report_of_an_earlier_release_names_no_leaving_servers():
+    earlier = msgspec.msgpack.encode(['told', 1, {'parts': [], 'records': b''}])
+    assert decode_frame(earlier) == ShareReport(1, RelayReport((), b''))
--- a/cowsliploom/gateway/tests/test_store_view.py
+++ b/cowsliploom/gateway/tests/test_store_view.py
@@ -156,7 +156,7 @@
     store_view.apply(Batch(6, (server('a', 5), server('b', 6))), STORE, 0)
     store_view.apply(Batch(7, (server('a', 7, state='draining'),)), STORE, 10)
     store_view.apply(Batch(8, (), (Removal('servers/b', 8),)), STORE, 20)
-    assert not store_view.dispatcher.fleet.has_usable('s', ())
+    assert not store_view.dispatcher.fleet.has_usable('s', (), 20)
 
 
 def test_registrations_expired_in_an_outage_are_held():
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -21,6 +21,8 @@
 from cowsliploom.platform._headers import render_error as render_error
 from cowsliploom.platform._headers import render_forwarded as render_forwarded
 from cowsliploom.platform._headers import render_merged as render_merged
+from cowsliploom.platform._notices import NOTICE_HEADERS as NOTICE_HEADERS
+from cowsliploom.platform._notices import read_notice as read_notice
 from cowsliploom.platform._settings import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 from cowsliploom.platform._settings import MachineSettings as MachineSettings
 from cowsliploom.platform._settings import SettingsError as SettingsError
--- a/cowsliploom/standins/_fake_backend.py
+++ b/cowsliploom/standins/_fake_backend.py
@@ -23,6 +23,10 @@
         Status of its responses; any other than 200 is a failure.
     sheds : bool
         Whether it rejects all requests without running them.
+    pause_text : str
+        ``Retry-After`` of its rejections, as written; empty for none.
+    is_leaving : bool
+        Whether it says in all responses that it leaves.
     is_unresponsive : bool
         Whether it accepts requests and never responds.
     wrong_request_id : str
@@ -37,6 +41,8 @@
     delay_ms: float = 0
     status: int = 200
     sheds: bool = False
+    pause_text: str = ''
+    is_leaving: bool = False
     is_unresponsive: bool = False
     wrong_request_id: str = ''
     endless: EndlessResponse | None = None
@@ -116,7 +122,7 @@
             return
         target_instance = headers.get('target-instance', self.name)
         request_id = headers.get('request-id', '')
-        echoed_id = [('Request-Id', request_id)]
+        echoed_id = [('Request-Id', request_id), *self._notices()]
         if target_instance == self.name and not self.faults.sheds:
             self.ran.append(request_id)
             response_task = asyncio.get_running_loop().create_task(
@@ -127,7 +133,10 @@
             self._running.add(response_task)
             response_task.add_done_callback(self._running.discard)
         elif target_instance == self.name:
-            request.answer(503, [*echoed_id, ('Not-Executed', '1')], b'')
+            pause = [('Retry-After', self.faults.pause_text)]
+            rejection = [*echoed_id, ('Not-Executed', '1')]
+            rejection.extend(pause if self.faults.pause_text else ())
+            request.answer(503, rejection, b'')
         else:
             request.answer(421, [*echoed_id, ('Instance-Id', self.name)], b'')
 
@@ -137,6 +146,7 @@
             ('Request-Id', self.faults.wrong_request_id or request_id),
             ('Response-Signature', f'{self.name}.{request_id}'),
             ('Server-Load', '1,0,2'),
+            *self._notices(),
         ]
         body = self.body_for(request_id)
         if self.faults.truncate_before:
@@ -144,6 +154,9 @@
             return
         request.answer(self.faults.status, headers, body)
 
+    def _notices(self) -> HeaderList:
+        return [('Server-Leaving', '1')] if self.faults.is_leaving else []
+
     def _send_truncated(
         self, request: HttpRequest, headers: HeaderList, body: bytes
     ) -> None:
