--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -12,10 +12,10 @@
 from cowsliploom.dataplane._http_calls import HttpAnswer as HttpAnswer
 from cowsliploom.dataplane._http_calls import HttpCall as HttpCall
 from cowsliploom.dataplane._http_calls import HttpFailure as HttpFailure
+from cowsliploom.dataplane._http_requests import HttpRequest as HttpRequest
+from cowsliploom.dataplane._http_requests import Rejection as Rejection
 from cowsliploom.dataplane._pools import ConnectionPools as ConnectionPools
 from cowsliploom.dataplane._server import HttpListener as HttpListener
-from cowsliploom.dataplane._server import HttpRequest as HttpRequest
-from cowsliploom.dataplane._server import Rejection as Rejection
 from cowsliploom.dataplane._sockets import HeaderList as HeaderList
 from cowsliploom.dataplane._sockets import (
     set_dead_peer_timeout as set_dead_peer_timeout,
--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
 
+from cowsliploom.dataplane._http_requests import HttpRequest, Rejection
+from cowsliploom.dataplane._rendering import head_without_offer, render_answer
 from cowsliploom.dataplane._sockets import (
     HeaderList,
     bound_address,
@@ -20,65 +21,12 @@
 
 MS_PER_S = 1000
 TIMEOUT_CHECK_MS = 250
+TUNNEL = b'CONNECT'  # the only method that can't be served without a switch
 PIPELINE_MAX = 16  # pipelined requests queued on one connection
 BACKLOG = 512
 PARSE_CHUNK_BYTES = 16_384  # parsed between two checks of the bounds
 UNCOUNTED_BYTES = 256  # method, version and spaces, which the header count omits
 ROUND_TRIPS = 2  # for a request and an answer above the initial TCP window
-REASONS = {
-    200: 'OK',
-    400: 'Bad Request',
-    404: 'Not Found',
-    408: 'Request Timeout',
-    413: 'Content Too Large',
-    421: 'Misdirected Request',
-    429: 'Too Many Requests',
-    431: 'Request Header Fields Too Large',
-    500: 'Internal Server Error',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
-
-
-@dataclass(slots=True)
-class HttpRequest:
-    """Complete request, and the connection that waits for its answer."""
-
-    method: str
-    target: str
-    headers: HeaderList
-    body: bytes
-    arrived_ms: float
-    keep_alive: bool
-    connection: 'ServerConnection'
-    path_ms: float = 0
-
-    def answer(self, status: int, headers: HeaderList, body: bytes) -> bool:
-        """Send the answer; False if the caller has disconnected."""
-        return self.connection.answer(self, status, headers, body)
-
-
-@dataclass(frozen=True, slots=True)
-class Rejection:
-    """Reason why a request was rejected before it was handled.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status of the answer.
-    reason : str
-        What was wrong, with the bound that was exceeded.
-    peer : str
-        Address of the caller.
-    headers : list of (str, str)
-        Headers that had been parsed by then.
-    """
-
-    status: int
-    reason: str
-    peer: str
-    headers: HeaderList
 
 
 Handler = Callable[[HttpRequest], Callable[[], None] | None]
@@ -112,6 +60,7 @@
         self._body_bytes = 0
         self._is_reading = False
         self._is_rejected = False
+        self._rejection: bytes = b''
         self.phase_start_ms: float = 0
         self._rtt_ms: float = 0
         self._is_first_request = True
@@ -183,7 +132,7 @@
     def on_headers_complete(self) -> None:
         """Send 100 Continue to a caller that expects it before its body."""
         self._pending_bytes = 0
-        if self._is_rejected:
+        if self._is_rejected or self._parser.should_upgrade():
             return
         for name, header in self._headers:
             if name.lower() == 'expect' and header.lower() == '100-continue':
@@ -201,10 +150,10 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
-        self._is_reading = False
         self._pending_bytes = 0
-        if self._is_rejected:
+        if self._is_rejected or self._parser.should_upgrade():
             return
+        self._is_reading = False
         now_ms = self._server.now_ms()
         self.phase_start_ms = now_ms
         trips = ROUND_TRIPS + self._is_first_request  # the TCP handshake takes one more
@@ -235,7 +184,7 @@
             return False
         is_last = self._server.is_draining and not self._queued
         keep = request.keep_alive and not is_last
-        self._write(_render(status, headers, body, keep, request.method))
+        self._write(render_answer(status, headers, body, keep, request.method))
         self._current = None
         self._on_disconnect = None
         self.phase_start_ms = self._server.now_ms()
@@ -243,6 +192,9 @@
             self.close()
         elif self._queued:
             self._server.loop.call_soon(self._handle_next)
+        elif self._is_rejected:
+            self._write(self._rejection)
+            self.close()
         return True
 
     def close(self) -> None:
@@ -263,13 +215,27 @@
     def _parse(self, chunk: memoryview) -> None:
         """Parse a chunk and bound the bytes that the parser has not reported.
 
-        The parser reports a header only once it is complete.
+        The parser reports a header only once it is complete. It ends a request that
+        offers another protocol at the end of its head. The offer may be ignored, so
+        the head is parsed again without it.
         """
         self._pending_bytes += len(chunk)
-        try:
-            self._parser.feed_data(chunk)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._reject(400, repr(error))
+        unparsed: memoryview | bytes = chunk
+        while unparsed and not self._is_rejected:
+            try:
+                self._parser.feed_data(unparsed)
+            except httptools.HttpParserUpgrade as upgrade:
+                rest = bytes(unparsed[upgrade.args[0] :])
+                offering = self._parser
+                self._parser = httptools.HttpRequestParser(self)
+                if offering.get_method() == TUNNEL:
+                    self._reject(405, 'CONNECT is not supported')
+                head = head_without_offer(offering, self._target, self._headers)
+                unparsed = head + rest
+                continue
+            except httptools.HttpParserError as error:
+                self._reject(400, repr(error))
+            break
         bytes_max = self._server.limits().header_bytes_max + UNCOUNTED_BYTES
         if self._pending_bytes > bytes_max:
             self._reject(431, f'head over {bytes_max} bytes')
@@ -293,15 +259,19 @@
             self._reject(431, f'head over {bytes_max} bytes')
 
     def _reject(self, status: int, reason: str) -> None:
-        """Answer an invalid request with an error status, and close."""
+        """Answer an invalid request with an error status, and close.
+
+        Requests that were received before it are answered first.
+        """
         if self._is_rejected:
             return
         self._is_rejected = True
         rejection = Rejection(status, reason, self._peer, self._headers)
         self._server.on_rejected(rejection)
-        if self._current is None:
-            self._write(_render(status, [], b'', keep=False, method='GET'))
-        self.close()
+        self._rejection = render_answer(status, [], b'', keep=False, method='GET')
+        if self._current is None and not self._queued:
+            self._write(self._rejection)
+            self.close()
 
     def _write(self, chunk: bytes) -> None:
         if self.transport is not None:
@@ -381,16 +351,3 @@
         self._timeout_timer = self.loop.call_later(
             TIMEOUT_CHECK_MS / MS_PER_S, self._check_timeouts
         )
-
-
-def _render(
-    status: int, headers: HeaderList, body: bytes, keep: bool, method: str
-) -> bytes:
-    lines = [f'HTTP/1.1 {status} {REASONS.get(status, "Status")}']
-    lines.extend(f'{name}: {header}' for name, header in headers)
-    lines.append(f'Content-Length: {len(body)}')
-    if not keep:
-        lines.append('Connection: close')
-    lines.append('\r\n')
-    head = '\r\n'.join(lines).encode('latin-1')
-    return head if method == 'HEAD' else head + body
