--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -14,6 +14,7 @@
 from cowsliploom.dataplane._http_calls import HttpFailure as HttpFailure
 from cowsliploom.dataplane._http_requests import HttpRequest as HttpRequest
 from cowsliploom.dataplane._http_requests import Rejection as Rejection
+from cowsliploom.dataplane._numbers import parse_count as parse_count
 from cowsliploom.dataplane._pools import ConnectionPools as ConnectionPools
 from cowsliploom.dataplane._server import HttpListener as HttpListener
 from cowsliploom.dataplane._sockets import HeaderList as HeaderList
--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -15,6 +15,7 @@
     HttpCall,
     HttpFailure,
 )
+from cowsliploom.dataplane._numbers import parse_count
 from cowsliploom.dataplane._sockets import (
     HeaderList,
     reset,
@@ -148,7 +149,7 @@
         match key.lower():
             case 'content-length':
                 self._has_framing = True
-                self._length_bytes = int(text)
+                self._length_bytes = parse_count(text) or 0  # the parser checks it
             case 'transfer-encoding':
                 self._has_framing = True
             case watched if watched in self.pool.head_watch.names:
@@ -278,7 +279,8 @@
 def _parse_idle_max_ms(header: str, default_ms: float) -> float:
     """Return how long a connection may be idle by its ``Keep-Alive`` header."""
     for parameter in header.split(','):
-        name, _, seconds = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
-            return max(0, int(seconds) * MS_PER_S - IDLE_GRACE_MS)
+        name, _, text = parameter.strip().partition('=')
+        seconds = parse_count(text)
+        if name.lower() == 'timeout' and seconds is not None:
+            return max(0, seconds * MS_PER_S - IDLE_GRACE_MS)
     return default_ms
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from cowsliploom.dataplane import AnswerOrigin, HeaderList, HttpAnswer
+from cowsliploom.dataplane import AnswerOrigin, HeaderList, HttpAnswer, parse_count
 from cowsliploom.forwarding import (
     BackendAnswer,
     CallerRequest,
@@ -212,8 +212,9 @@
 
 def _parse_load(header: str) -> LoadReport | None:
     """Decode a load report; None if it is invalid."""
-    fields = [field.strip() for field in header.split(',')]
-    if len(fields) != 3 or not all(field.isdecimal() for field in fields):
+    counts = [parse_count(field.strip()) for field in header.split(',')]
+    known = [count for count in counts if count is not None]
+    if len(counts) != 3 or len(known) != len(counts):
         return None
-    running, waiting, slots = (int(field) for field in fields)
+    running, waiting, slots = known
     return LoadReport(running, waiting, slots)
--- a/cowsliploom/platform/tests/test_documents.py
+++ b/cowsliploom/platform/tests/test_documents.py
@@ -236,6 +236,9 @@
         ('a,b,c', None),
         ('-1,0,2', None),
         ('', None),
+        ('٣,0,8', None),
+        (f'{"9" * 309},0,8', None),
+        (f'0,{"9" * 5000},8', None),
     ],
 )
 def test_load_report_is_decoded_or_ignored(header, load):
