--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -1,7 +1,7 @@
 """Calls to backend servers for an exchange, and the timer of the exchange."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from typing import Protocol
 
@@ -18,6 +18,7 @@
 )
 from cowsliploom.forwarding import (
     CallAnswered,
+    CallerLeft,
     CallFailed,
     CancelCall,
     Command,
@@ -44,11 +45,17 @@
     ----------
     dispatcher : RequestDispatcher
         Holds the fleet of known servers.
+
+    Attributes
+    ----------
+    report_error : callable
+        Receives the request id and an unexpected error that ended a request.
     """
 
     def __init__(self, dispatcher: RequestDispatcher) -> None:
         self.dispatcher = dispatcher
         self.loop = asyncio.get_running_loop()
+        self.report_error: Callable[[str, Exception], None] = self._report_to_loop
         self._pools: ConnectionPools[Server] = ConnectionPools(SERVER_BOUNDS)
 
     def now_ms(self) -> float:
@@ -82,6 +89,10 @@
         """Close the connections without an open call."""
         self._pools.drop_idle()
 
+    def _report_to_loop(self, request_id: str, error: Exception) -> None:
+        message = f'request {request_id} ended by an error'
+        self.loop.call_exception_handler({'message': message, 'exception': error})
+
     def _watch_heads(self, server: Server) -> HeadWatch:
         return HeadWatch(platform.NOTICE_HEADERS, partial(self._read_head, server))
 
@@ -153,16 +164,29 @@
         self.calls: dict[int, OpenCall] = {}
         self._machine = machine
         self._used_connections: set[Abortable] = set()
+        self._has_failed = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_ms: float = 0
 
     def start(self) -> None:
         """Send the first calls."""
-        self.execute(self._machine.start(self.pools.now_ms()))
+        try:
+            self.execute(self._machine.start(self.pools.now_ms()))
+        except Exception as error:
+            self._end_failed(error)
 
     def handle(self, event: ExchangeEvent) -> None:
-        """Pass an event to the state machine and execute the commands."""
-        self.execute(self._machine.step(event))
+        """Pass an event to the state machine and execute the commands.
+
+        An unexpected error ends this request only: other requests share the timers and
+        connections that it is raised on.
+        """
+        if self._has_failed:
+            return
+        try:
+            self.execute(self._machine.step(event))
+        except Exception as error:
+            self._end_failed(error)
 
     def execute(self, commands: Iterable[Command]) -> None:
         """Execute commands and set the timer."""
@@ -180,6 +204,16 @@
         """Execute a command that neither sends nor cancels a call."""
         raise NotImplementedError
 
+    def end_without_result(self) -> None:
+        """End the request after an unexpected error."""
+        raise NotImplementedError
+
+    def _end_failed(self, error: Exception) -> None:
+        self._has_failed = True
+        self.pools.report_error(self.request_id, error)
+        self.execute(self._machine.step(CallerLeft(self.pools.now_ms())))
+        self.end_without_result()
+
     def _cancel(self, call_id: int) -> None:
         call = self.calls.pop(call_id, None)
         if call is not None:
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -65,6 +65,7 @@
         )
         self._store_view = StoreView(self._dispatcher, self.log, self.settings.apply_ms)
         self._pools = ServerPools(self._dispatcher)
+        self._pools.report_error = self._record_request_error
         self._relays = Relays(self._pools, self.settings.relays_address, self.log)
         self._request_log = RequestLog(self.log, self.metrics, self._store_view)
         self._forwarder = Forwarder(self._pools, self._relays, self._request_log)
@@ -206,6 +207,12 @@
         self._pools.close_idle()
         self._peers.drop_idle()
 
+    def _record_request_error(self, request_id: str, error: Exception) -> None:
+        self.metrics.count('request_errors')
+        self.log.write(
+            'daemon', 'request failed', request_id=request_id, reason=repr(error)
+        )
+
     def _now_ms(self) -> float:
         return self._loop.time() * MS_PER_S
 
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -24,6 +24,7 @@
 
 # Most requests are answered within this multiple of their route's target latency.
 NEEDED_TIME_RATIO = 2
+INTERNAL_ERROR = ErrorReply(Outcome.FAILED, 'internal error')
 RETRY_AFTER_MS = 50.0  # other entry VMs still accept requests
 
 
@@ -84,7 +85,9 @@
         return runner.handle_disconnect
 
     def finish(self, runner: '_RequestRunner', reply: Reply | None) -> None:
-        """Answer a request, or record that its caller has disconnected."""
+        """Answer a request, or record that its caller has disconnected; once."""
+        if runner not in self._runners:
+            return
         self._runners.discard(runner)
         self._reply(runner.http, runner.request, runner.exchange, reply)
 
@@ -146,6 +149,10 @@
         self.handle(CallerLeft(self.pools.now_ms()))
         self._forwarder.finish(self, None)
 
+    def end_without_result(self) -> None:
+        """Tell the caller that the request may have run."""
+        self._forwarder.finish(self, INTERNAL_ERROR)
+
     def execute_command(self, command: Command) -> None:
         """Request a share from a relay, or answer the caller."""
         match command:
--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -247,6 +247,10 @@
         if self._share.is_over:
             self._on_end()
 
+    def end_without_result(self) -> None:
+        """Forget the share; its requester calls the servers itself."""
+        self._on_end()
+
     def execute_command(self, command: Command) -> None:
         """Do nothing: results are sent by reports."""
 
--- a/cowsliploom/gateway/tests/test_server_pools.py
+++ b/cowsliploom/gateway/tests/test_server_pools.py
@@ -9,6 +9,7 @@
 from cowsliploom.forwarding.tests.dispatcher_harness import make_dispatcher, record
 from cowsliploom.gateway._calls import ServerPools
 
+CLOSE_S = 0.05  # for the ends of the connections
 ANSWER = b'HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -53,6 +54,7 @@
         assert result.status == 200
         pools.close_idle()
         second.close()
+        await asyncio.sleep(CLOSE_S)
 
     asyncio.run(run())
 
