--- a/cowsliploom/forwarding/_routes.py
+++ b/cowsliploom/forwarding/_routes.py
@@ -151,7 +151,8 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
-        routes = self._by_host.get(host.lower())
+        name = host.lower()
+        routes = self._by_host.get(name) or self._by_host.get(_without_port(name))
         if routes is None:
             return None
         plain = path.partition('?')[0]
@@ -171,3 +172,15 @@
     def rules(self, service: str) -> ServiceRules:
         """Return the rules of a service; conservative defaults if it has none."""
         return self.services.get(service) or ServiceRules(service)
+
+
+def _without_port(host: str) -> str:
+    """Return the name in a ``Host`` header, which may state a port.
+
+    Examples
+    --------
+    >>> _without_port('rota.example:8080'), _without_port('[::1]')
+    ('rota.example', '[::1]')
+    """
+    name, colon, port = host.rpartition(':')
+    return name if colon and port.isdecimal() else host
--- a/cowsliploom/forwarding/_server_notices.py
+++ b/cowsliploom/forwarding/_server_notices.py
@@ -61,7 +61,7 @@
         Examples
         --------
         >>> StandingNotice().updated(ServerNotice(pause_ms=2000), 100, spread=0)
-        StandingNotice(is_leaving=False, paused_until_ms=2100)
+        StandingNotice(is_leaving=False, paused_until_ms=2100.0)
         """
         until_ms = self.paused_until_ms
         if notice.pause_ms is not None:
--- a/cowsliploom/forwarding/tests/test_parts.py
+++ b/cowsliploom/forwarding/tests/test_parts.py
@@ -43,11 +43,18 @@
         ('h', '/a', None),
         ('h', '/c/a/b/', None),
         ('other', '/a/x', None),
+        ('h:8080', '/a/x', '/a/'),
+        ('H:80', '/a/x', '/a/'),
+        ('h:', '/a/x', None),
+        ('h:x', '/a/x', None),
+        ('p:81', '/p/x', '/p/'),
         ('h', '', None),
     ],
 )
 def test_longest_prefix_of_the_host_selects_the_route(host, path, found):
-    table = RouteTable(1, (route('/a/'), route('/a/b/'), route('/', 'z')))
+    table = RouteTable(
+        1, (route('/a/'), route('/a/b/'), route('/', 'z'), route('/p/', 'p:81'))
+    )
     selected = table.find(host, path)
     assert getattr(selected, 'prefix', None) == found
 
