--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -164,6 +164,9 @@
             self.pool.head_watch.on_head(status, self._headers)
         if status in BODILESS_STATUSES:
             self._meter.begin_body(0)
+        elif self._is_head_complete and self._call and not self._call.expects_body:
+            # The parser waits for a body all the same, so the connection ends here.
+            self._complete(keep=False)
         elif self._is_head_complete:
             self._meter.begin_body(self._length_bytes)
 
--- a/cowsliploom/dataplane/_http_calls.py
+++ b/cowsliploom/dataplane/_http_calls.py
@@ -121,6 +121,11 @@
         self._used_connections = set() if used_connections is None else used_connections
         self.is_ended = False
 
+    @property
+    def expects_body(self) -> bool:
+        """Whether the answer may have a body; that to ``HEAD`` has none."""
+        return not self.content.startswith(b'HEAD ')
+
     def start_on(self, connection: Abortable) -> None:
         """Record the connection on which the call is sent."""
         self.connection = connection
--- a/cowsliploom/dataplane/_rendering.py
+++ b/cowsliploom/dataplane/_rendering.py
@@ -27,7 +27,8 @@
     """Return an answer as it is written to a caller."""
     lines = [f'HTTP/1.1 {status} {REASONS.get(status, "Status")}']
     lines.extend(f'{name}: {header}' for name, header in headers)
-    lines.append(f'Content-Length: {len(body)}')
+    if method != 'HEAD':
+        lines.append(f'Content-Length: {len(body)}')
     if not keep:
         lines.append('Connection: close')
     lines.append('\r\n')
