--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -68,6 +68,7 @@
     Benchmark('claims', 'store calls of claims'),
     Benchmark('configuration', 'cost of configuration by its size'),
     Benchmark('judge_cost', 'cost of evidence for version moves'),
+    Benchmark('server_notices', 'requests after a server left or asked for a pause'),
     Benchmark('version_moves', 'seeded version moves, good and bad'),
 )
 
--- a/cowsliploom/standins/__init__.py
+++ b/cowsliploom/standins/__init__.py
@@ -7,6 +7,7 @@
 from cowsliploom.standins._faults import StoreFaults as StoreFaults
 from cowsliploom.standins._faults import StoreMode as StoreMode
 from cowsliploom.standins._memory_store import MemoryStore as MemoryStore
+from cowsliploom.standins._notice_recorder import NoticeRecorder as NoticeRecorder
 from cowsliploom.standins._server_log import RunEntry as RunEntry
 from cowsliploom.standins._server_log import RunLog as RunLog
 from cowsliploom.standins._server_log import SearchEntry as SearchEntry
