--- a/tests/processes/gateway_world.py
+++ b/tests/processes/gateway_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import time
+from pathlib import Path
 
 import msgspec
 
@@ -103,11 +104,11 @@
 class World:
     """Run a store, backend servers and gateways for one test."""
 
-    def __init__(self, folder):
+    def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.store = FakePlatformStore()
-        self.backends = {}
-        self.processes = {}
+        self.backends: dict[str, FakeBackendServer] = {}
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.window_s = 10
 
     async def __aenter__(self):
