--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -21,6 +21,7 @@
 
 MS_PER_S = 1000
 TIMEOUT_CHECK_MS = 250
+REJECTED_LINGER_MS = 500  # for which a rejected caller may go on sending
 TUNNEL = b'CONNECT'  # the only method that can't be served without a switch
 PIPELINE_MAX = 16  # pipelined requests queued on one connection
 BACKLOG = 512
@@ -37,7 +38,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """Connection of one caller.
+    """Connection of one caller; one that half-closes it counts as disconnected.
 
     Parameters
     ----------
@@ -95,10 +96,6 @@
         if on_disconnect is not None:
             on_disconnect()
 
-    def eof_received(self) -> bool:
-        """Close the connection; a caller that half-closes counts as disconnected."""
-        return False
-
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes."""
         view = memoryview(chunk)
@@ -193,8 +190,7 @@
         elif self._queued:
             self._server.loop.call_soon(self._handle_next)
         elif self._is_rejected:
-            self._write(self._rejection)
-            self.close()
+            self._end_rejected()
         return True
 
     def close(self) -> None:
@@ -204,13 +200,17 @@
 
     def check_timeouts(self, now_ms: float, limits: CallerLimits) -> None:
         """Close the connection if it is idle, or sending a request, for too long."""
+        if self._current or self._queued:
+            return
         elapsed_ms = now_ms - self.phase_start_ms
-        if self.is_idle:
-            if elapsed_ms > limits.idle_timeout_ms:
+        if self._is_rejected:
+            if elapsed_ms > REJECTED_LINGER_MS:
                 self.close()
-        elif self._is_reading and self._current is None:
+        elif self._is_reading:
             if elapsed_ms > limits.header_timeout_ms:
                 self._reject(408, f'not whole after {round(elapsed_ms)} ms')
+        elif elapsed_ms > limits.idle_timeout_ms:
+            self.close()
 
     def _parse(self, chunk: memoryview) -> None:
         """Parse a chunk and bound the bytes that the parser has not reported.
@@ -270,8 +270,18 @@
         self._server.on_rejected(rejection)
         self._rejection = render_answer(status, [], b'', keep=False, method='GET')
         if self._current is None and not self._queued:
-            self._write(self._rejection)
-            self.close()
+            self._end_rejected()
+
+    def _end_rejected(self) -> None:
+        """Write the rejection, and discard what the caller still sends for a while.
+
+        Closing with unread bytes would reset the connection, and the caller could lose
+        the answers that it has not read yet.
+        """
+        self.phase_start_ms = self._server.now_ms()
+        self._write(self._rejection)
+        if self.transport is not None:
+            self.transport.write_eof()
 
     def _write(self, chunk: bytes) -> None:
         if self.transport is not None:
--- a/cowsliploom/gateway/tests/test_odd_servers.py
+++ b/cowsliploom/gateway/tests/test_odd_servers.py
@@ -55,8 +55,8 @@
 
     name: str
     random: random.Random
-    runs: Counter = field(default_factory=Counter)
-    bodies: dict = field(default_factory=dict)
+    runs: Counter[str] = field(default_factory=Counter)
+    bodies: dict[str, set[bytes]] = field(default_factory=dict)
 
     async def serve(self, reader, writer):
         """Serve one connection."""
@@ -138,7 +138,7 @@
     method: str = 'POST'
     body: bytes = b''
     path_ms: float = 0
-    answers: list = field(default_factory=list)
+    answers: list[tuple[int, bytes]] = field(default_factory=list)
     answered: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
