--- a/cowsliploom/members/tests/test_mirror_histories.py
+++ b/cowsliploom/members/tests/test_mirror_histories.py
@@ -79,9 +79,16 @@
 
 
 class StoreHistory:
-    """Store with a revision counter, which can tell its content at any revision."""
+    """Store with a revision counter, which can tell its content at any revision.
 
-    def __init__(self):
+    Parameters
+    ----------
+    make_item : callable
+        Returns the item that a write of a key stores at a revision.
+    """
+
+    def __init__(self, make_item=item):
+        self.make_item = make_item
         self.revision = 0
         self.changes = []
         self.contents = [{}]
@@ -96,7 +103,7 @@
             content.pop(key)
             self.changes.append(Removal(key, self.revision))
         else:
-            content[key] = item(key, self.revision)
+            content[key] = self.make_item(key, self.revision)
             self.changes.append(content[key])
         self.contents.append(content)
 
