--- a/cowsliploom/gateway/tests/test_updates_of_fleet.py
+++ b/cowsliploom/gateway/tests/test_updates_of_fleet.py
@@ -28,7 +28,7 @@
 ACTIONS = (
     *('write', 'write', 'remove', 'remove', 'remove'),
     *('exchange', 'exchange', 'exchange', 'watch', 'watch', 'watch'),
-    *('kill', 'cut'),
+    *('kill', 'cut', 'lapse'),
 )
 STORE = Provenance('store')
 
@@ -142,6 +142,10 @@
                 self.store.change(self.random.choice(KEYS), removes=False)
             case 'remove':
                 self.store.change(self.random.choice(KEYS), removes=True)
+            case 'lapse':
+                for key in KEYS:
+                    self.store.change(key, removes=True)
+                gateway.view.note_store_recovery(self.time_ms)
             case 'exchange':
                 await gateway.exchange()
             case 'watch':
