--- a/review/kit2/store.py
+++ b/review/kit2/store.py
@@ -133,7 +133,10 @@
     def _transact(self, caller: str, wire: dict) -> tuple[int, dict]:
         expected = wire.get('expectedRevision', [])
         for row in expected:
-            if self.items.get(row['key'], {'revision': 0})['revision'] != row['revision']:
+            if (
+                self.items.get(row['key'], {'revision': 0})['revision']
+                != row['revision']
+            ):
                 found = [self.items.get(row['key'], {'key': row['key'], 'revision': 0})]
                 return 412, {'items': found}
         self.revision += 1
--- a/review/kit2/world.py
+++ b/review/kit2/world.py
@@ -98,9 +98,7 @@
         seeds = ','.join(f'{host}:18106' for host in list(self.hosts.values())[:3])
         path = self.folder / f'{name}.conf'
         path.write_text(
-            settings(
-                name, self.hosts[name], self.zones[name], self.stores[name], seeds
-            )
+            settings(name, self.hosts[name], self.zones[name], self.stores[name], seeds)
         )
         environment = {
             'PATH': os.environ['PATH'],
@@ -160,7 +158,9 @@
     async with asyncio.timeout(wait_s):
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            writer.write(request(method, target, {'Host': 'h.example', **headers}, body))
+            writer.write(
+                request(method, target, {'Host': 'h.example', **headers}, body)
+            )
             return await read_message(reader)
         finally:
             writer.close()
