Let the newest registration say until when a server is cold

Change: the warm-up of a newer registration replaces the known one, whichever ends later; registrations are ordered by the mirror's revisions.

--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -168,13 +168,12 @@
         return ready and not unusable
 
     def update_record(self, record: ServerRecord, now_ms: float) -> None:
-        """Apply a newer registration of the same incarnation."""
-        if record.cold_ms > 0:
-            cold_until_ms = now_ms + record.cold_ms
-            was_cold = self.is_cold(now_ms)
-            self.cold_until_ms = (
-                min(self.cold_until_ms, cold_until_ms) if was_cold else cold_until_ms
-            )
+        """Apply a newer registration of the same incarnation.
+
+        Its warm-up time replaces the known one, whichever ends later: a server may
+        become cold again at any moment.
+        """
+        self.cold_until_ms = now_ms + record.cold_ms
         self.record = record
 
     def update_load(self, load: LoadReport, now_ms: float) -> None:
