Believe removals at once unless the store was away for all

Cause: a removal of a quarter of all registrations in one batch counted as an expiry, also while the store was up, and was held for 2.3 s from when this VM heard of it. Change: registrations are kept only after an outage of the store, counted from its end. The VM that noticed the outage tells it with its messages; it is not believed if anybody had an answer of the store meanwhile.

--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -62,6 +62,9 @@
         Whether the sender is about to stop.
     version : int
         Which fields the sender understands; unknown ones are skipped.
+    outage_ages_ms : tuple of float
+        Time since the sender's latest outage of the store began and since it ended;
+        empty for none.
     member_ages : bytes
         Ages by fingerprint of the member, from ``MemberAges.encode``, for a receiver
         that knows other members; empty otherwise.
@@ -82,6 +85,7 @@
     is_leaving: bool = False
     version: int = 0
     member_ages: bytes = b''
+    outage_ages_ms: tuple[float, ...] = ()
 
     @property
     def sender(self) -> Member:
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -10,6 +10,7 @@
 from cowsliploom.dataplane import HttpListener, HttpRequest
 from cowsliploom.forwarding import CallerLimits
 from cowsliploom.gateway._background import BackgroundTasks
+from cowsliploom.gateway._expiry_hold import StoreOutage
 from cowsliploom.gateway._facts import FactRegistry
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._metrics import Metrics
@@ -306,6 +307,7 @@
             attended_age_ms=attended_age_ms,
             is_leaving=self._is_leaving,
             version=MESSAGE_VERSION,
+            outage_ages_ms=self._store_view.expiry_hold.ages_ms(now_ms),
         )
 
     def _apply_message(self, message: PeerMessage) -> bool:
@@ -326,6 +328,10 @@
     def _apply_updates(self, message: PeerMessage, is_remote: bool) -> None:
         now_ms = self.now_ms()
         provenance = Provenance(message.name, message.age_ms)
+        if len(message.outage_ages_ms) == 2:
+            lost_age_ms, recovered_age_ms = message.outage_ages_ms
+            outage = StoreOutage(now_ms - lost_age_ms, now_ms - recovered_age_ms)
+            self._store_view.note_outage(outage, message.name)
         try:
             batch = decode_updates(message.news)
         except UpdatesError as error:
--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -11,19 +11,13 @@
     ServerHealthChange,
     ServerRecord,
 )
+from cowsliploom.gateway._expiry_hold import ExpiryHold, StoreOutage
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._move_tracker import MoveTracker
 from cowsliploom.gateway._peer_wire import UNKNOWN_AGE_MS
 from cowsliploom.gateway._provenance import Provenance
 from cowsliploom.members import Batch, StoreMirror
 
-EXPIRY_HOLD_MS = (
-    2300.0  # live servers register again this soon after the store's return
-)
-# When this share of all servers, and at least MASS_EXPIRY_MIN of them, is removed at
-# once, the registrations have more likely expired than the servers stopped.
-MASS_EXPIRY_SHARE = 0.25
-MASS_EXPIRY_MIN = 3
 FRESHNESS_SHARE = 0.8  # of the apply time; the rest is for the way from the store
 CHANGE_LINES_MAX = 20  # more lines would push others out of the log
 
@@ -76,7 +70,7 @@
         self._records: dict[str, ServerRecord] = {}
         self._moves = MoveTracker(self.mirror, dispatcher.fleet, log)
         self._held: dict[str, float] = {}
-        self._store_recovered_ms = float('-inf')
+        self.expiry_hold = ExpiryHold()
         dispatcher.fleet.on_health_change = self._log_health_change
         dispatcher.is_current = self.is_current
 
@@ -112,9 +106,24 @@
             self.confirmed_age_ms(now_ms),
         )
 
-    def note_store_recovery(self, now_ms: float) -> None:
-        """Record that the store answers again after an outage."""
-        self._store_recovered_ms = now_ms
+    def note_outage(self, outage: StoreOutage, source: str) -> None:
+        """Record an outage of the store that has ended.
+
+        Parameters
+        ----------
+        outage : StoreOutage
+            The outage.
+        source : str
+            ``'store'`` if noticed here, or the name of the peer that noticed it.
+        """
+        if self.expiry_hold.note(outage, self._confirmed_ms):
+            self.log.write(
+                'store',
+                'outage ended',
+                for_ms=round(outage.recovered_ms - outage.lost_ms),
+                hold_until_ms=round(self.expiry_hold.until_ms),
+                source=source,
+            )
 
     def apply(
         self,
@@ -167,6 +176,7 @@
         """Add time during which the local clock did not advance."""
         if self._confirmed_ms is not None:
             self._confirmed_ms -= missed_ms
+        self.expiry_hold.add_age(missed_ms)
 
     def expire_held_servers(self, now_ms: float) -> None:
         """Remove servers whose registrations did not return within the hold time."""
@@ -212,8 +222,7 @@
     def _apply_servers(
         self, keys: list[str], provenance: Provenance, now_ms: float
     ) -> None:
-        removed = [key for key in keys if self.mirror.get(key) is None]
-        hold_until_ms = self._hold_until_ms(len(removed), now_ms)
+        hold_until_ms = self.expiry_hold.until_ms
         for key in keys:
             item = self.mirror.get(key)
             if item is None:
@@ -230,14 +239,6 @@
                 self.log.write('server', 'unreadable', server=key, reason=error.reason)
         self._update_fleet(provenance, now_ms)
 
-    def _hold_until_ms(self, removed: int, now_ms: float) -> float:
-        """Return until when removed servers are kept, as they may register again."""
-        is_mass_expiry = removed >= max(
-            MASS_EXPIRY_MIN, len(self._records) * MASS_EXPIRY_SHARE
-        )
-        after_outage_ms = self._store_recovered_ms + EXPIRY_HOLD_MS
-        return max(after_outage_ms, now_ms + EXPIRY_HOLD_MS if is_mass_expiry else 0)
-
     def _log_full_contents(
         self, batch: Batch, changed: int, known_revision: int, provenance: Provenance
     ) -> None:
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from cowsliploom.gateway._expiry_hold import StoreOutage
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._peer_wire import UNKNOWN_AGE_MS
 from cowsliploom.gateway._peers import Peers
@@ -54,6 +55,7 @@
         self._is_watching = False
         self._is_reachable = False
         self._failures = 0
+        self._lost_ms = float('-inf')
         self._needs_list = True
 
     async def run(self) -> None:
@@ -112,13 +114,16 @@
         if not self._is_reachable:
             self._is_reachable = True
             if self._failures:
-                self.store_view.note_store_recovery(self.peers.now_ms())
+                outage = StoreOutage(self._lost_ms, self.peers.now_ms())
+                self.store_view.note_outage(outage, 'store')
             self.log.write('store', 'answers', failures=self._failures)
         self._failures = 0
 
     def _record_failure(self, reply: StoreUnanswered) -> float:
         if self._is_reachable or not self._failures:
             self.log.write('store', 'lost', step=reply.step, reason=reply.reason)
+        if not self._failures:
+            self._lost_ms = self.peers.now_ms()
         self._is_reachable = False
         self._needs_list = True
         bound_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2**self._failures)
