Let a stored veto outrank what a controller decided before it

A suspended VM also owned cold servers at once that others had taken over. Vetoes are stored under vetoes/SERVICE, and a step names the stored veto it has seen as a condition of its write. A veto outranks a finished state written without it.

--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -205,7 +205,7 @@
         self._store_view.add_age(suspended_ms)
         self._peers.watcher_liveness.add_age(suspended_ms)
         self._pools.close_idle()
-        self._peers.drop_idle()
+        self._peers.resume()
 
     def _record_request_error(self, request_id: str, error: Exception) -> None:
         self.metrics.count('request_errors')
--- a/cowsliploom/gateway/_move_states.py
+++ b/cowsliploom/gateway/_move_states.py
@@ -51,9 +51,15 @@
         return _as_stored_value(service, active, reply)
 
     async def write(
-        self, command: SwapState, active: ActiveOrder | None
+        self,
+        command: SwapState,
+        active: ActiveOrder | None,
+        vetoes: platform.KeyRevision,
     ) -> Swapped | Conflict | Unanswered:
-        """Write a state and the status for the operator in one transaction."""
+        """Write a state and the status for the operator in one transaction.
+
+        Nothing is written if the state or the stored veto has changed meanwhile.
+        """
         state = decode_json(command.text, MoveState)
         if active is None or not active.matches(state):
             return NOT_SENT
@@ -62,13 +68,16 @@
             platform.KeyWrite(f'{STATE_PREFIX}{command.move}', content),
             render_move_status(active.order, state.status),
         )
-        reply = await self._store.write(
-            command.expected_version, writes, STORE_TIMEOUT_MS
+        expected = (
+            platform.KeyRevision(writes[0].key, command.expected_version),
+            vetoes,
         )
+        reply = await self._store.write(expected, writes, STORE_TIMEOUT_MS)
         match reply:
             case platform.Written(revision):
                 return Swapped(revision)
             case platform.ChangedMeanwhile():
+                self._log.write('move', 'step refused', service=command.move)
                 return Conflict(0)
             case _:
                 return self._log_unanswered(reply)
@@ -90,7 +99,8 @@
         if item is not None and state is not None:
             status = render_move_status(active.order, state.status)
             writes = (platform.KeyWrite(key, item.content), status)
-            reply = await self._store.write(item.revision, writes, STORE_TIMEOUT_MS)
+            expected = (platform.KeyRevision(key, item.revision),)
+            reply = await self._store.write(expected, writes, STORE_TIMEOUT_MS)
             self._log.write('move', 'confirmed', service=service, outcome=str(reply))
 
 
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -172,8 +172,12 @@
             if member.name in names:
                 self._background.start(self._send(member.address, message))
 
-    def drop_idle(self) -> None:
-        """Close idle connections to peers."""
+    def resume(self) -> None:
+        """Own no cold server for a while, and close idle connections.
+
+        After a suspension, others may have taken over what this VM owned.
+        """
+        self._changed_ms = self.now_ms()
         self._calls.pools.drop_idle()
 
     def others(self) -> tuple[Member, ...]:
--- a/cowsliploom/gateway/_roster_sync.py
+++ b/cowsliploom/gateway/_roster_sync.py
@@ -30,6 +30,7 @@
     def apply(self, message: PeerMessage, now_ms: float) -> bool:
         """Apply a message; return whether its sender knows the same members."""
         known = self._known
+        known.heard_ms = now_ms
         known.record((LivenessRecord(message.sender, 0),), now_ms)
         known.record((seen.liveness_record for seen in message.sightings), now_ms)
         if message.member_ages:
--- a/cowsliploom/gateway/_version_moves.py
+++ b/cowsliploom/gateway/_version_moves.py
@@ -5,19 +5,22 @@
 
 import asyncio
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
 from cowsliploom import platform
 from cowsliploom.forwarding import CompletedCall, VersionSplit
 from cowsliploom.gateway._active_order import ActiveOrder, decode_state
 from cowsliploom.gateway._background import BackgroundTasks
+from cowsliploom.gateway._controller_role import ControllerRole
+from cowsliploom.gateway._evidence_log import EvidenceLog
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._move_states import MoveStates
 from cowsliploom.gateway._peer_wire import Fact
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._stored_moves import STATE_PREFIX
+from cowsliploom.gateway._stored_vetoes import StoredVetoes
 from cowsliploom.protocol import UnreadableError, decode_json
 from cowsliploom.rollout import (
     AnnounceFact,
@@ -34,13 +37,11 @@
     SwapState,
     Veto,
     cautious_rollout,
+    veto_fact,
 )
 
 MS_PER_S = 1000
-EVIDENCE_LINES_MS = 1000
 CONFIRM_PAUSE_MS = 1000  # until the write is visible here, or is retried
-CONTROLLER_ROLE = 'version-moves'
-JUDGES = 2  # receive all evidence: the controller and its successor
 
 
 class VersionMoves:
@@ -71,6 +72,9 @@
         self._store_view = store_view
         self._peers = peers
         self._states = MoveStates(store, store_view.mirror, log)
+        self._vetoes = StoredVetoes(store, store_view.mirror, log)
+        self._role = ControllerRole(peers, log)
+        self._evidence_log = EvidenceLog(self._rollout, log)
         self._log = log
         self._active_orders: dict[str, ActiveOrder] = {}
         self._ended_services: set[str] = set()
@@ -79,7 +83,6 @@
         self._entry_count = 0
         self._state_revisions: dict[str, int] = {}
         self._background = BackgroundTasks()
-        self._evidence_logged_ms = float('-inf')
         store_view.dispatcher.calls.on_call = self._sample
         peers.facts.on_fact = self._receive_fact
         for fact in peers.facts.persistent():
@@ -91,42 +94,27 @@
         self._declare_moves()
         self._apply_states()
         self._declare_moves()
+        self._exchange_vetoes()
         now_ms = self._peers.now_ms()
-        is_first = self._judges()[0] == self._peers.known.own.name
-        self._perform(self._rollout.step_controller(CandidateChanged(now_ms, is_first)))
-        if is_first:
+        is_controller = CandidateChanged(now_ms, self._role.update())
+        self._perform(self._rollout.step_controller(is_controller))
+        if self._role.is_held:
             self._confirm_ended()
         self._perform(self._rollout.tick(now_ms, time.time() * MS_PER_S))
-        self._log_evidence(now_ms)
+        self._evidence_log.write(self._running, self._role.is_judge(), now_ms)
 
-    def _log_evidence(self, now_ms: float) -> None:
-        """Log the strongest evidence on each new version, at most once a second."""
-        if now_ms < self._evidence_logged_ms + EVIDENCE_LINES_MS:
-            return
-        self._evidence_logged_ms = now_ms
-        for move in self._running:
-            finding = self._rollout.strongest_finding(move.name)
-            state = self._rollout.states().get(move.name)
-            if finding is not None and finding.calls:
-                self._log.write(
-                    'move',
-                    'evidence',
-                    service=move.service,
-                    to_version=move.to_version,
-                    share=state.share if state else 0,
-                    is_judge=self._peers.known.own.name in self._judges(),
-                    kind=finding.kind.value,
-                    route=finding.route,
-                    calls=finding.calls,
-                    bad=finding.bad,
-                    allowed_rate=round(finding.allowed_rate, 4),
-                    e_value=round(finding.e_value, 2),
-                )
-
-    def _judges(self) -> tuple[str, ...]:
-        return self._peers.known.rank_live(
-            CONTROLLER_ROLE, self._peers.now_ms(), JUDGES
-        )
+    def _exchange_vetoes(self) -> None:
+        """Apply vetoes that the store has, and write those that it lacks."""
+        now_ms = self._peers.now_ms()
+        for service in self._active_orders:
+            stored = self._vetoes.read(service)
+            if stored is not None:
+                fact = veto_fact(stored)
+                self._receive_fact(Fact(fact.key, fact.generation, fact.blob))
+        if self._role.is_judge():
+            for veto in self._rollout.vetoes():
+                if veto.service in self._active_orders:
+                    self._vetoes.record(veto, now_ms)
 
     def _update_orders(self) -> None:
         orders = self._store_view.orders
@@ -176,7 +164,8 @@
             reason=state.reason,
             revision=revision,
         )
-        if state.status is not MoveStatus.RUNNING:
+        is_vetoed = _is_vetoed(service, state, self._rollout.vetoes())
+        if state.status is not MoveStatus.RUNNING and not is_vetoed:
             self._ended_services.add(service)
             split = VersionSplit(state.to_version, state.share)
             self._store_view.dispatcher.fleet.split(service, split)
@@ -227,11 +216,23 @@
         now_ms = self._peers.now_ms()
         if fact.key.startswith(self._peers.facts.persistent_prefix):
             self._log.write('move', 'veto heard', veto=fact.key)
+            self._reopen(fact)
         commands = self._rollout.handle_fact(
             now_ms, fact.key, fact.generation, fact.blob
         )
         self._perform(commands)
 
+    def _reopen(self, fact: Fact) -> None:
+        """Take up a move again that was reported as finished without this veto."""
+        try:
+            service = decode_json(fact.blob, Veto).service
+        except UnreadableError as error:
+            self._log.write('move', 'unreadable', service=fact.key, reason=error.reason)
+            return
+        if service in self._ended_services:
+            self._ended_services.discard(service)
+            self._state_revisions.pop(service, None)
+
     def _perform(self, commands: tuple[RolloutCommand, ...]) -> None:
         for command in commands:
             match command:
@@ -266,8 +267,9 @@
                 evidence=veto.evidence,
             )
             self._peers.broadcast_fact(fact)
+            self._vetoes.record(veto, self._peers.now_ms())
         elif announced.key.startswith('evidence/'):
-            self._peers.send_fact(fact, self._judges())
+            self._peers.send_fact(fact, self._role.judges())
 
     def _confirm_ended(self) -> None:
         """Answer repeated requests for ended moves by writing their states again."""
@@ -289,6 +291,15 @@
 
     async def _swap(self, command: SwapState) -> None:
         active = self._active_orders.get(command.move)
-        answer = await self._states.write(command, active)
+        vetoes = self._vetoes.expected(command.move)
+        answer = await self._states.write(command, active, vetoes)
         event = StateSwapped(self._peers.now_ms(), command.move, answer)
         self._perform(self._rollout.step_controller(event))
+
+
+def _is_vetoed(service: str, state: MoveState, vetoes: Iterable[Veto]) -> bool:
+    """Return whether a veto outranks a finished state that was written without it."""
+    return state.status is MoveStatus.FINISHED and any(
+        (veto.service, veto.to_version) == (service, state.to_version)
+        for veto in vetoes
+    )
--- a/cowsliploom/gateway/tests/test_cold_owners.py
+++ b/cowsliploom/gateway/tests/test_cold_owners.py
@@ -109,3 +109,17 @@
         assert owners(fleet[1:]) == {int(is_taken_over)}
 
     run_script(script)
+
+
+def test_member_whose_clock_stood_still_owns_nothing_for_the_hold_time():
+    """Guard against two owners after a suspension that the clock leaves out."""
+
+    def script(fleet, clock):
+        receive_records(fleet, NAMES)
+        clock.now_ms = 1000
+        fleet[0].resume()
+        assert not any(fleet[0].owns(server) for server in SERVERS)
+        clock.now_ms = 2000
+        assert owners(fleet) == {1}
+
+    run_script(script)
--- a/cowsliploom/members/_membership_table.py
+++ b/cowsliploom/members/_membership_table.py
@@ -93,6 +93,7 @@
         self.own = own
         self.seeds = seeds
         self.has_seen_peer = False
+        self.heard_ms = float('-inf')  # last message that a member sent to this VM
         self._random = random.Random(seed)
         self._last_seen_ms: dict[str, float] = {}
         self._members: dict[str, Member] = {}
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -29,6 +29,7 @@
 from cowsliploom.platform._settings import read_settings as read_settings
 from cowsliploom.platform._store import ChangedMeanwhile as ChangedMeanwhile
 from cowsliploom.platform._store import HistoryGone as HistoryGone
+from cowsliploom.platform._store import KeyRevision as KeyRevision
 from cowsliploom.platform._store import KeyWrite as KeyWrite
 from cowsliploom.platform._store import PlatformStore as PlatformStore
 from cowsliploom.platform._store import StoreUnanswered as StoreUnanswered
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -51,6 +51,14 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRevision:
+    """Revision at which a key is expected; 0 if it is expected to be absent."""
+
+    key: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class KeyWrite:
     """Content to be written to a key."""
@@ -68,9 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangedMeanwhile:
-    """A key was not at the expected revision; nothing was written."""
-
-    key: str
+    """A key was not at its expected revision; nothing was written."""
 
 
 class _WireItem(msgspec.Struct):
@@ -157,19 +163,21 @@
         return item if isinstance(item, StoreUnanswered) else _decode_items([item])[0]
 
     async def write(
-        self, expected_revision: int, writes: Sequence[KeyWrite], timeout_ms: float
+        self,
+        expected: Sequence[KeyRevision],
+        writes: Sequence[KeyWrite],
+        timeout_ms: float,
     ) -> Written | ChangedMeanwhile | StoreUnanswered:
-        """Write all keys if the first is at the expected revision (0 if absent).
+        """Write all keys if each expected one is at its revision.
 
         Notes
         -----
         A call without an answer may have taken effect, or may still do so.
         """
-        checked_key = writes[0].key
         body = msgspec.json.encode(
             {
                 'expectedRevision': [
-                    {'key': checked_key, 'revision': expected_revision}
+                    {'key': each.key, 'revision': each.revision} for each in expected
                 ],
                 'writes': [
                     {
@@ -184,7 +192,7 @@
         )
         reply = await self._call('write', 'POST', '/v1/kv-txn', timeout_ms, body)
         if isinstance(reply, HttpAnswer) and reply.status == REVISION_MISMATCH:
-            return ChangedMeanwhile(checked_key)
+            return ChangedMeanwhile()
         written = self._decode(reply, 'store.write', _WireRevision)
         if isinstance(written, StoreUnanswered):
             return written
--- a/cowsliploom/rollout/_controller.py
+++ b/cowsliploom/rollout/_controller.py
@@ -46,6 +46,7 @@
 
 RETRY_MS = 1000  # between attempts of a failed call to the store
 FOLLOWER_READ_MS = 10_000  # a candidate that received no state by then reads it
+MISSED_TIME_MS = 1000  # a longer gap between ticks may hide vetoes of others
 STALE_SPEC_MS = 10_000  # configurations are in force everywhere sooner than this
 VETOES_MAX = 256  # vetoes kept, also of moves not yet declared
 UNPROVEN_END = 1.25  # of the time given; no version is held for longer as unproven
@@ -112,6 +113,7 @@
         self._tracked: dict[str, _TrackedMove] = {}
         self._vetoes: dict[tuple[str, str, int], Veto] = {}
         self._is_candidate = True
+        self._ticked_ms = math.inf
 
     def step(self, event: ControllerEvent) -> tuple[ControllerCommand, ...]:
         """Handle an event and return the commands that follow from it."""
@@ -167,7 +169,7 @@
             self._vetoes.pop(next(iter(self._vetoes)))
 
     def _restart_moves(self, now_ms: float, is_new: bool) -> None:
-        """Read each state again as a new controller and restart the counts."""
+        """Read each state again and restart the counts, as new or after a pause."""
         if is_new:
             for tracked in tuple(self._tracked.values()):
                 restarted = replace(
@@ -246,6 +248,8 @@
 
     def _tick(self, tick: ControllerTick) -> tuple[ControllerCommand, ...]:
         commands: list[ControllerCommand] = []
+        self._restart_moves(tick.now_ms, tick.now_ms > self._ticked_ms + MISSED_TIME_MS)
+        self._ticked_ms = tick.now_ms
         if self._tracked and self._is_candidate:
             commands.extend(self._leadership.next_call(tick.now_ms))
         is_leader = self._leadership.is_held(tick.now_ms)
--- a/cowsliploom/rollout/tests/test_controller.py
+++ b/cowsliploom/rollout/tests/test_controller.py
@@ -8,8 +8,10 @@
 from cowsliploom.ports import Unanswered
 from cowsliploom.protocol import LeaseResult, StoredValue
 from cowsliploom.rollout import (
+    CAUTIOUS_SCHEDULE,
     SHARES,
     AnnounceFact,
+    AssignedLeadership,
     CallLease,
     CandidateChanged,
     Controller,
@@ -255,3 +257,31 @@
     run([outdated], 29_000)
     assert store.state().generation == 2
     assert store.state().status is MoveStatus.FINISHED
+
+
+def run_until_last_step(harness):
+    """Run until only the end of the move is left; return the time."""
+    for now_ms in range(0, END_MS, STEP_MS):
+        harness.tick(now_ms)
+        state = harness.store.state()
+        if state is not None and state.step == len(CAUTIOUS_SCHEDULE.shares) - 2:
+            return now_ms
+    raise AssertionError('the move did not reach its last step')
+
+
+@pytest.mark.parametrize('has_lease', [True, False])
+@pytest.mark.parametrize('missed_ms', [1500, 3500, 7000])
+def test_controller_that_missed_time_waits_for_vetoes(has_lease, missed_ms):
+    """A controller that was frozen finished a move that all others had vetoed."""
+    harness = ControllerHarness(FakeStore())
+    leadership = LeaseLeadership('a') if has_lease else AssignedLeadership()
+    harness.controller = Controller(leadership, CAUTIOUS_SCHEDULE)
+    harness.handle(MovesDeclared(0, (replace(MOVE, finish_by_ms=12_000),), 2))
+    harness.handle(CandidateChanged(0, is_candidate=True))
+    now_ms = run_until_last_step(harness) + missed_ms
+    harness.tick(now_ms)
+    harness.tick(now_ms + STEP_MS)
+    assert harness.store.state().status is MoveStatus.RUNNING
+    harness.handle(VetoReceived(now_ms + STEP_MS, VETO))
+    run([harness], now_ms + 2 * STEP_MS, now_ms + 20 * STEP_MS)
+    assert harness.store.state().status is MoveStatus.ROLLED_BACK
