Serve requests as the tenant's that holds their key, and never pass the key on

Change: AccessControl decides on route and tenant by the configuration in force: 401 for unknown keys, 403 where a route names other tenants, and 503 while the configuration may be out of date. Servers and relays get the tenant's name; the table holds digests only. strictRevoke and revokeMs are read.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding of requests along routes to backend servers; sans-IO."""
 
+from cowsliploom.forwarding._access import AccessRules as AccessRules
 from cowsliploom.forwarding._budget import Allowance as Allowance
 from cowsliploom.forwarding._budget import BudgetReport as BudgetReport
 from cowsliploom.forwarding._budget import ExtraBudget as ExtraBudget
@@ -67,3 +68,7 @@
 from cowsliploom.forwarding._servers import ServerRecord as ServerRecord
 from cowsliploom.forwarding._servers import ServerState as ServerState
 from cowsliploom.forwarding._sub_request import SubRequest as SubRequest
+from cowsliploom.forwarding._tenants import NO_TENANT as NO_TENANT
+from cowsliploom.forwarding._tenants import Tenant as Tenant
+from cowsliploom.forwarding._tenants import TenantTable as TenantTable
+from cowsliploom.forwarding._tenants import key_digest as key_digest
--- a/cowsliploom/forwarding/_dispatcher.py
+++ b/cowsliploom/forwarding/_dispatcher.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cowsliploom.forwarding._access import AccessControl
 from cowsliploom.forwarding._budgets import BudgetRules, ServiceBudgets
 from cowsliploom.forwarding._call_history import CallHistory
 from cowsliploom.forwarding._exchange import Exchange
 from cowsliploom.forwarding._fleet import Fleet, calls_max
 from cowsliploom.forwarding._latency import RecentLatency
-from cowsliploom.forwarding._messages import CallerRequest, ErrorReply, Outcome
+from cowsliploom.forwarding._messages import CallerRequest, ErrorReply
 from cowsliploom.forwarding._relay_plan import (
     PlannedShare,
     RelayShare,
@@ -25,7 +26,6 @@
 from cowsliploom.forwarding._weights import WeightedRoundRobin
 from cowsliploom.members import Member
 
-RETRY_AFTER_MS = 300.0  # a configuration arrives within this time or much later
 RETRY_SPREAD = 0.5  # spreads the retries of callers that are refused together
 LATENCY_DEFAULT_SHARE = 0.3  # of the target latency, until there are samples
 LOOP_LAG_QUANTILE = 0.8
@@ -82,7 +82,7 @@
         self._latencies: dict[str, RecentLatency] = {}
         self.name = ''
         self.members: Callable[[], tuple[Member, ...]] = tuple
-        self.is_current: Callable[[float], bool] = bool
+        self.access = AccessControl(self.retry_after_ms)
         self._round_robin = WeightedRoundRobin(self._random)
         self._relays: dict[str, Server] = {}
         self._plans: dict[str, _RelayPlan] = {}
@@ -124,20 +124,17 @@
 
     def open(self, request: CallerRequest) -> Exchange | ErrorReply:
         """Return the exchange of a request, or an error reply if there is none."""
-        if not self.table.version:
-            return ErrorReply(
-                Outcome.REFUSED,
-                'no configuration yet',
-                self.retry_after_ms(RETRY_AFTER_MS),
-            )
-        route = self.table.find(request.host, request.target)
-        if route is None:
-            return self._no_route_reply(request.arrived_ms)
+        admission = self.access.admit(self.table, request)
+        if isinstance(admission, ErrorReply):
+            return admission
+        route, tenant = admission.route, admission.tenant
         sub_requests = self._sub_requests(route)
         for sub_request in sub_requests:
             sub_request.budget.earn()
         shares = self._relay_shares(route, request.arrived_ms)
-        return Exchange(self, request, route, sub_requests, shares)
+        return Exchange(
+            self, request, route, sub_requests, shares, reply_policy=None, tenant=tenant
+        )
 
     def open_share(
         self, request: CallerRequest, name: str, fan_out: FanOut, report_ms: float
@@ -181,19 +178,6 @@
         """Return a randomised retry delay, so that callers do not retry together."""
         return base_ms * self._random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
 
-    def _no_route_reply(self, now_ms: float) -> ErrorReply:
-        """Return ``NO_ROUTE`` only if the configuration is known to be current.
-
-        Callers treat it as final, while another entry VM may know the route.
-        """
-        if self.is_current(now_ms):
-            return ErrorReply(Outcome.NO_ROUTE, 'no route for this host and path')
-        return ErrorReply(
-            Outcome.REFUSED,
-            'no route, and the configuration may be out of date',
-            self.retry_after_ms(RETRY_AFTER_MS),
-        )
-
     def _relay_shares(self, route: Route, now_ms: float) -> tuple[RelayShare, ...]:
         """Return the shares of responsive relays; other shards are called directly."""
         members = self.members()
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -36,6 +36,7 @@
 from cowsliploom.forwarding._server_choice import CallLimits
 from cowsliploom.forwarding._servers import Server
 from cowsliploom.forwarding._sub_request import Attempt, SubRequest
+from cowsliploom.forwarding._tenants import NO_TENANT, Tenant
 
 CAPACITY_POLL_MS = 4.0  # interval at which a server with capacity is looked for
 LINGER_MS = 300.0  # open calls may complete for this long after the reply
@@ -104,6 +105,8 @@
         Shards that are called through relays. Default none.
     reply_policy : ReplyPolicy or None
         Decides on the reply; by default ``CallerReplyPolicy``.
+    tenant : Tenant
+        Tenant of the caller. Default none.
     """
 
     def __init__(
@@ -114,8 +117,10 @@
         sub_requests: tuple[SubRequest, ...],
         shares: tuple[RelayShare, ...] = (),
         reply_policy: ReplyPolicy | None = None,
+        tenant: Tenant = NO_TENANT,
     ) -> None:
         self.request = request
+        self.tenant = tenant
         self.route = route
         self.sub_requests = sub_requests
         self.reply: Reply | None = None
--- a/cowsliploom/forwarding/_messages.py
+++ b/cowsliploom/forwarding/_messages.py
@@ -3,7 +3,7 @@
 All times are milliseconds of the entry VM's monotonic clock.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from cowsliploom.forwarding._servers import LoadReport, Server
@@ -31,6 +31,8 @@
         Caller's timeout, counted from ``arrived_ms``.
     path_ms : float
         Network time from and to the caller, derived from its connection.
+    key : str
+        Key by which the caller identifies itself; left out of representations.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     arrived_ms: float
     patience_ms: float
     path_ms: float = 0
+    key: str = field(default='', repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +244,8 @@
     FORWARDED = 'passed'
     MERGED = 'gathered'
     NO_ROUTE = 'no route'
+    NO_KEY = 'no key'
+    NOT_ALLOWED = 'not allowed'
     REFUSED = 'refused'
     FAILED = 'failed'
     TIMED_OUT = 'timed out'
--- a/cowsliploom/forwarding/_routes.py
+++ b/cowsliploom/forwarding/_routes.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from cowsliploom.forwarding._tenants import TenantTable
+
 HEADER_BYTES_MAX = 16_384
 BODY_BYTES_MAX = 262_144
 HEADER_TIMEOUT_MS = 3000.0
@@ -59,6 +61,10 @@
         Services that receive the requests; empty for a route that fans out.
     fan_out : FanOut or None
         Set for a route that calls many shards.
+    is_public : bool
+        Whether callers need no key.
+    tenants : frozenset of str
+        Names of the tenants that may use the route; empty for all.
     """
 
     name: str
@@ -71,6 +77,8 @@
     rank: int = 0
     services: tuple[WeightedService, ...] = ()
     fan_out: FanOut | None = None
+    is_public: bool = False
+    tenants: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +134,8 @@
         Rules by service.
     limits : CallerLimits
         Limits for callers.
+    tenants : TenantTable
+        Tenants and their keys; empty if callers need none.
 
     Examples
     --------
@@ -142,6 +152,7 @@
     routes: tuple[Route, ...] = ()
     services: Mapping[str, ServiceRules] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    tenants: TenantTable = TenantTable()
     _by_host: dict[str, dict[str, Route]] = field(default_factory=dict, init=False)
 
     def __post_init__(self) -> None:
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -89,6 +89,7 @@
         )
         self._dispatcher.budgets.read_share = self._budget_share.read
         self._dispatcher.name = own.name
+        self._dispatcher.access.rules = self.settings.access
         self._dispatcher.members = self._peers.others
         self._watch = StoreWatch(
             self._store, self._store_view, self.log, self._peers, self._seed
@@ -232,6 +233,7 @@
         self._peers.watcher_liveness.apply_ms = settings.apply_ms
         self._store_view.apply_ms = settings.apply_ms
         self._dispatcher.budgets.change(settings.budget)
+        self._dispatcher.access.rules = settings.access
         self.settings = settings
         self.log.write('daemon', 'reloaded', seeds=list(settings.seeds))
 
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -74,6 +74,7 @@
             http.body,
             http.arrived_ms,
             http.path_ms,
+            has_tenants=bool(self.pools.dispatcher.table.tenants),
         )
         opened = self._open(request)
         if isinstance(opened, ErrorReply):
@@ -136,7 +137,7 @@
             forwarder.pools,
             exchange,
             request.request_id,
-            platform.render_call_head(request),
+            platform.render_call_head(request, exchange.tenant),
             request.body,
         )
         self._forwarder = forwarder
--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -72,7 +72,8 @@
         self._held: dict[str, float] = {}
         self.expiry_hold = ExpiryHold()
         dispatcher.fleet.on_health_change = self._log_health_change
-        dispatcher.is_current = self.is_current
+        dispatcher.access.is_current = self.is_current
+        dispatcher.access.confirmed_age_ms = self.confirmed_age_ms
 
     @property
     def orders(self) -> Mapping[str, MoveOrder]:
--- a/cowsliploom/platform/_documents.py
+++ b/cowsliploom/platform/_documents.py
@@ -14,7 +14,10 @@
     ServerRecord,
     ServerState,
     ServiceRules,
+    Tenant,
+    TenantTable,
     WeightedService,
+    key_digest,
 )
 from cowsliploom.protocol import (
     AddressError,
@@ -74,6 +77,14 @@
     fanout_services: list[str] = msgspec.field(default_factory=list)
     top_k: int = 0
     min_shard_share: float = 0
+    public: bool = False
+    tenants: list[str] = msgspec.field(default_factory=list)
+
+
+class _WireTenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
 
 
 class _WireService(msgspec.Struct, rename='camel'):
@@ -96,6 +107,7 @@
     routes: list[_WireRoute]
     services: list[_WireService] = msgspec.field(default_factory=list)
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] = msgspec.field(default_factory=list)
 
 
 class _WireServer(msgspec.Struct, rename='camel'):
@@ -139,6 +151,7 @@
         tuple(_route(route) for route in wire.routes),
         {service.name: _service(service) for service in wire.services},
         limits,
+        _tenant_table(wire.tenants),
     )
 
 
@@ -251,9 +264,44 @@
         rank=wire.priority,
         services=() if fan_out else weighted,
         fan_out=fan_out,
+        is_public=wire.public,
+        tenants=frozenset(wire.tenants),
     )
 
 
+def _tenant_table(wire: list[_WireTenant]) -> TenantTable:
+    """Return the tenants by their keys.
+
+    Raises
+    ------
+    DocumentError
+        If two tenants hold one key, or a name can't be sent in a header.
+    """
+    by_digest: dict[bytes, Tenant] = {}
+    for each in wire:
+        tenant = _tenant(each)
+        for key in each.api_keys:
+            holder = by_digest.setdefault(_digest(key), tenant)
+            if holder.name != tenant.name:
+                reason = f'{holder.name} and {tenant.name} hold the same key'
+                raise DocumentError(CONFIGURATION_KEY, reason)
+    return TenantTable(by_digest)
+
+
+def _tenant(wire: _WireTenant) -> Tenant:
+    if not (wire.name.isascii() and wire.name.isprintable() and wire.name):
+        raise DocumentError(CONFIGURATION_KEY, f'tenant name {wire.name!r}')
+    return Tenant(wire.name, wire.priority)
+
+
+def _digest(key: str) -> bytes:
+    try:
+        return key_digest(key)
+    except UnicodeEncodeError as error:
+        reason = 'a key has characters that no header can hold'
+        raise DocumentError(CONFIGURATION_KEY, reason) from error
+
+
 def _service(wire: _WireService) -> ServiceRules:
     return ServiceRules(
         wire.name,
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -6,6 +6,7 @@
 
 from cowsliploom.dataplane import AnswerOrigin, HeaderList, HttpAnswer, parse_count
 from cowsliploom.forwarding import (
+    NO_TENANT,
     BackendAnswer,
     CallerRequest,
     ErrorReply,
@@ -13,6 +14,7 @@
     LoadReport,
     MergedAnswer,
     Outcome,
+    Tenant,
 )
 
 REQUEST_ID = 'request-id'
@@ -21,6 +23,7 @@
 SIGNATURE = 'response-signature'
 LOAD = 'server-load'  # running, waiting, slots
 NOT_RUN = 'not-executed'
+KEY = 'key'  # identifies a caller's tenant
 MS_PER_S = 1000
 WRONG_SERVER = 421
 ENCODED = 'content-encoding'
@@ -43,6 +46,7 @@
     )
 )
 REPLACED = HOP_BY_HOP | {TIMEOUT, TARGET, 'host'}
+REPLACED_WITH_TENANTS = REPLACED | {KEY, 'tenant'}
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +65,7 @@
     body: bytes,
     arrived_ms: float,
     path_ms: float = 0,
+    has_tenants: bool = False,
 ) -> CallerRequest:
     """Decode a caller's request.
 
@@ -76,6 +81,9 @@
         Time at which the last byte was read.
     path_ms : float
         Network time to and from the caller, part of its timeout. Default 0.
+    has_tenants : bool
+        Whether callers identify themselves by keys, which are not forwarded. Default
+        False.
     """
     by_name = {name.lower(): header for name, header in headers}
     return CallerRequest(
@@ -83,11 +91,14 @@
         method,
         by_name.get('host', ''),
         target,
-        _end_to_end_headers(headers, REPLACED),
+        _end_to_end_headers(
+            headers, REPLACED_WITH_TENANTS if has_tenants else REPLACED
+        ),
         body,
         arrived_ms,
         _parse_timeout(by_name.get(TIMEOUT, '')),
         path_ms,
+        _read_key(headers) if has_tenants else '',
     )
 
 
@@ -97,10 +108,18 @@
     return by_name.get(REQUEST_ID, '')
 
 
-def render_call_head(request: CallerRequest) -> str:
+def _read_key(headers: HeaderList) -> str:
+    """Return the caller's key; empty for none, or for several."""
+    keys = [header for name, header in headers if name.lower() == KEY]
+    return keys[0] if len(keys) == 1 else ''
+
+
+def render_call_head(request: CallerRequest, tenant: Tenant = NO_TENANT) -> str:
     """Return the head that all calls of a request share."""
     lines = [f'{request.method} {request.target} HTTP/1.1', f'Host: {request.host}']
     lines.extend(f'{name}: {header}' for name, header in request.headers)
+    if tenant.name:
+        lines.append(f'Tenant: {tenant.name}')
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(f'Content-Length: {len(request.body)}')
     return '\r\n'.join(lines)
@@ -171,6 +190,8 @@
     """Return the error answer of a request without a result."""
     status = {
         Outcome.NO_ROUTE: 404,
+        Outcome.NO_KEY: 401,
+        Outcome.NOT_ALLOWED: 403,
         Outcome.REFUSED: 503,
         Outcome.TIMED_OUT: 504,
     }.get(error.outcome, 502)
--- a/cowsliploom/platform/_settings.py
+++ b/cowsliploom/platform/_settings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from cowsliploom.forwarding import BudgetRules
+from cowsliploom.forwarding import AccessRules, BudgetRules
 
 SETTINGS_VARIABLE = 'COWSLIPLOOM_SETTINGS'
 MS_PER_S = 1000
@@ -47,6 +47,8 @@
         Time between the stop signal and the kill.
     apply_ms : float
         Time within which a new configuration is to be in force.
+    access : AccessRules
+        How withdrawn keys are treated.
     """
 
     name: str
@@ -60,6 +62,7 @@
     budget: BudgetRules
     grace_ms: float
     apply_ms: float
+    access: AccessRules = AccessRules()
 
 
 def read_settings(path: Path) -> MachineSettings:
@@ -112,6 +115,10 @@
         ),
         grace_ms=_read_number(fields, 'bounds.graceS', '6') * MS_PER_S,
         apply_ms=_read_number(fields, 'bounds.configApplyMs', '3000'),
+        access=AccessRules(
+            is_strict=fields.get('bounds.strictRevoke', '').lower() == 'true',
+            revoke_ms=_read_number(fields, 'bounds.revokeMs', '5000'),
+        ),
     )
 
 
