Meter the requests of tenants and report each window once

Change: package usage (counts, ledger, true time, duty; sans-IO), counts on the messages that members exchange anyway, a holder under a lease with a fencing token, counts fixed in the store before they are reported, leases and the era header in the store's client. docs/design/tenants.md says what was weighed.

--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -22,11 +22,14 @@
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._store_watch import StoreWatch
 from cowsliploom.gateway._suspension import SuspensionDetector
+from cowsliploom.gateway._usage_exchange import UsageExchange
+from cowsliploom.gateway._usage_task import UsageTask
 from cowsliploom.members import Member, MembershipTable
 from cowsliploom.platform import (
     MachineSettings,
     PlatformStore,
     SettingsError,
+    UsageReports,
     read_settings,
 )
 
@@ -68,7 +71,10 @@
         self._pools.report_error = self._record_request_error
         self._relays = Relays(self._pools, self.settings.relays_address, self.log)
         self._request_log = RequestLog(self.log, self.metrics, self._store_view)
-        self._forwarder = Forwarder(self._pools, self._relays, self._request_log)
+        self._usage = UsageExchange.of_process(self.settings.name, self.settings.usage)
+        self._forwarder = Forwarder(
+            self._pools, self._relays, self._request_log, self._usage
+        )
         self._store = PlatformStore(self.settings.store_address)
         own = Member(
             self.settings.name,
@@ -83,7 +89,9 @@
             self.metrics,
             self._now_ms,
             self.settings.apply_ms,
+            self._usage,
         )
+        self._usage_task = self._make_usage_task()
         self._budget_share = BudgetShare(
             known, self._dispatcher.budgets, self.log, self._now_ms
         )
@@ -139,6 +147,7 @@
             self._sweep,
             self._isolation.run,
             moves.run,
+            *((self._usage_task.run,) if self._usage_task else ()),
         )
         for task in tasks:
             running = self._loop.create_task(keep_running(task, self.log))
@@ -152,6 +161,21 @@
         )
         return listeners
 
+    def _make_usage_task(self) -> UsageTask | None:
+        rules = self.settings.usage
+        if rules is None:
+            return None
+        return UsageTask(
+            rules,
+            UsageReports(self.settings.reports_address),
+            self._usage,
+            self._peers,
+            self._store_view,
+            self._store,
+            self.log,
+            self.metrics,
+        )
+
     async def _drain(self) -> None:
         """Leave the membership while still serving, then wait for open requests."""
         started_ms = self._now_ms()
@@ -162,6 +186,8 @@
         )
         self._caller_listener.drain()
         self._forwarder.stop_at(stop_ms)
+        if self._usage_task is not None:
+            self._usage_task.stop()
         self._loop.create_task(self._peers.leave())
         while self._now_ms() < stop_ms:
             if self._now_ms() - started_ms > CLOSE_IDLE_AFTER_MS:
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -1,6 +1,6 @@
 """Forwarding of callers' requests to backend servers, and of the replies."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cowsliploom import platform
 from cowsliploom.dataplane import HttpRequest
@@ -15,12 +15,14 @@
     Outcome,
     Reply,
     Route,
+    SendCall,
     SendToRelay,
     Stopping,
 )
 from cowsliploom.gateway._calls import CallRunner, ServerPools
 from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
+from cowsliploom.gateway._usage_exchange import UsageExchange
 
 # Most requests are answered within this multiple of their route's target latency.
 NEEDED_TIME_RATIO = 2
@@ -39,14 +41,21 @@
         Connections to other entry VMs that query shards.
     request_log : RequestLog
         Records how each request ended.
+    usage : UsageExchange or None
+        Counts the requests of tenants that began to run. Default none.
     """
 
     def __init__(
-        self, pools: ServerPools, relays: Relays, request_log: RequestLog
+        self,
+        pools: ServerPools,
+        relays: Relays,
+        request_log: RequestLog,
+        usage: UsageExchange | None = None,
     ) -> None:
         self.pools = pools
         self.relays = relays
         self.request_log = request_log
+        self.usage = usage or UsageExchange()
         self._runners: set[_RequestRunner] = set()
         self._stop_ms = float('inf')
 
@@ -90,6 +99,7 @@
         if runner not in self._runners:
             return
         self._runners.discard(runner)
+        runner.settle_usage()
         self._reply(runner.http, runner.request, runner.exchange, reply)
 
     def _open(self, request: CallerRequest) -> Exchange | ErrorReply:
@@ -144,6 +154,24 @@
         self.http = http
         self.request = request
         self.exchange = exchange
+        self._usage_window = 0
+
+    def execute(self, commands: Iterable[Command]) -> None:
+        """Execute commands, and meter the request once it is sent."""
+        commands = tuple(commands)
+        if not self._usage_window and any(map(_sends, commands)):
+            tenant = self.exchange.tenant.name
+            now_ms = self.pools.now_ms()
+            self._usage_window = self._forwarder.usage.begin(tenant, now_ms)
+        super().execute(commands)
+
+    def settle_usage(self) -> None:
+        """Take the request back if no server began to run it."""
+        if self._usage_window:
+            parts = self.exchange.sub_requests
+            if not any(part.may_have_run for part in parts):
+                tenant = self.exchange.tenant.name
+                self._forwarder.usage.take_back(tenant, self._usage_window)
 
     def handle_disconnect(self) -> None:
         """Cancel all calls after the caller has disconnected."""
@@ -163,6 +191,10 @@
                 self._forwarder.finish(self, command)
 
 
+def _sends(command: Command) -> bool:
+    return isinstance(command, SendCall | SendToRelay)
+
+
 def _render(request_id: str, reply: Reply | None) -> platform.WireReply | None:
     match reply:
         case ForwardedAnswer(answer):
--- a/cowsliploom/gateway/_peer_wire.py
+++ b/cowsliploom/gateway/_peer_wire.py
@@ -6,6 +6,7 @@
 
 from cowsliploom.members import Batch, Census, LivenessRecord, Member
 from cowsliploom.protocol import DECODE_FAILURES
+from cowsliploom.usage import UsageEntry
 
 NO_UPDATES = b''
 MESSAGE_VERSION = 1  # 0 in messages of releases that send all members by name
@@ -65,6 +66,12 @@
     outage_ages_ms : tuple of float
         Time since the sender's latest outage of the store began and since it ended;
         empty for none.
+    usage : tuple of WireUsage
+        Counts of usage that the receiver lacks.
+    usage_reported : int
+        Latest window whose usage is reported, as far as the sender knows.
+    wall_ms : float
+        The sender's wall clock; 0 if the receiver needs none.
     member_ages : bytes
         Ages by fingerprint of the member, from ``MemberAges.encode``, for a receiver
         that knows other members; empty otherwise.
@@ -86,6 +93,9 @@
     version: int = 0
     member_ages: bytes = b''
     outage_ages_ms: tuple[float, ...] = ()
+    usage: tuple['WireUsage', ...] = ()
+    usage_reported: int = 0
+    wall_ms: float = 0
 
     @property
     def sender(self) -> Member:
@@ -123,6 +133,25 @@
         return LivenessRecord(member, self.age_ms)
 
 
+class WireUsage(msgspec.Struct, frozen=True, array_like=True):
+    """An entry of usage, encoded without field names."""
+
+    source: str
+    window: int
+    sequence: int
+    counts: dict[str, int]
+
+    @classmethod
+    def of(cls, entry: UsageEntry) -> 'WireUsage':
+        """Return the encodable form of an entry."""
+        return cls(entry.source, entry.window, entry.sequence, dict(entry.counts))
+
+    @property
+    def entry(self) -> UsageEntry:
+        """The decoded entry."""
+        return UsageEntry(self.source, self.window, self.sequence, self.counts)
+
+
 _MESSAGE_DECODER = msgspec.msgpack.Decoder(PeerMessage)
 _BATCH_DECODER = msgspec.msgpack.Decoder(Batch)
 
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -29,6 +29,7 @@
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._update_fetcher import UpdateFetcher
 from cowsliploom.gateway._update_propagation import UpdatePropagation
+from cowsliploom.gateway._usage_exchange import UsageExchange
 from cowsliploom.members import (
     STALE_MS,
     WATCHERS,
@@ -70,6 +71,8 @@
         Monotonic clock.
     apply_ms : float
         Time within which a new configuration is to be in force.
+    usage : UsageExchange or None
+        Counts of usage that messages carry. Default none.
     """
 
     def __init__(
@@ -80,8 +83,10 @@
         metrics: Metrics,
         now_ms: Callable[[], float],
         apply_ms: float,
+        usage: UsageExchange | None = None,
     ) -> None:
         self.known = known
+        self._usage = usage or UsageExchange()
         self._roster_sync = RosterSync(known)
         self._store_view = store_view
         self._log = log
@@ -211,7 +216,7 @@
             for member in _watchers(self.known.live(now_ms)):
                 if member is not self.known.own:
                     return member.address
-        return self.known.partner(now_ms)
+        return self._usage.partner() or self.known.partner(now_ms)
 
     def _needs_fast_exchange(self) -> bool:
         stale = self._store_view.confirmed_age_ms(self.now_ms()) > STALE_MS
@@ -261,9 +266,11 @@
         return await self._send(address, message)
 
     async def _send(self, address: str, sent: PeerMessage) -> bool:
+        sent = self._usage.annotate(sent, address)
         message = await self._calls.call(address, sent)
         if message is None:
             return False
+        self._usage.acknowledge(address, sent)
         if not self._apply_message(message):
             follow_up = self._roster_sync.follow_up(
                 self._message(), sent, message, self.now_ms()
@@ -287,6 +294,7 @@
         if message.wants_news and message.revision < self._store_view.mirror.revision:
             updates = self.updates.encoded_since(message.revision)
             answer = msgspec.structs.replace(answer, news=updates)
+        answer = self._usage.annotate(answer)
         headers = [('Content-Type', 'application/msgpack')]
         request.answer(200, headers, encode_message(answer))
 
@@ -320,6 +328,7 @@
         if message.is_leaving:
             self.known.remove(message.name)
             return True
+        self._usage.receive(message, now_ms)
         is_same_roster = self._roster_sync.apply(message, now_ms)
         self.watcher_liveness.record(message.attended_age_ms, now_ms)
         is_remote = message.data_centre != self.known.own.data_centre
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -31,6 +31,10 @@
 from cowsliploom.platform._store import HistoryGone as HistoryGone
 from cowsliploom.platform._store import KeyRevision as KeyRevision
 from cowsliploom.platform._store import KeyWrite as KeyWrite
+from cowsliploom.platform._store import Lease as Lease
+from cowsliploom.platform._store import NoLease as NoLease
 from cowsliploom.platform._store import PlatformStore as PlatformStore
 from cowsliploom.platform._store import StoreUnanswered as StoreUnanswered
 from cowsliploom.platform._store import Written as Written
+from cowsliploom.platform._usage_reports import UsageReport as UsageReport
+from cowsliploom.platform._usage_reports import UsageReports as UsageReports
--- a/cowsliploom/platform/_settings.py
+++ b/cowsliploom/platform/_settings.py
@@ -5,10 +5,12 @@
 from pathlib import Path
 
 from cowsliploom.forwarding import AccessRules, BudgetRules
+from cowsliploom.usage import UsageRules
 
 SETTINGS_VARIABLE = 'COWSLIPLOOM_SETTINGS'
 MS_PER_S = 1000
 COMMENT_MARK = '#'
+USAGE_DUTY = 'usage_report'
 
 
 class SettingsError(ValueError):
@@ -49,6 +51,10 @@
         Time within which a new configuration is to be in force.
     access : AccessRules
         How withdrawn keys are treated.
+    usage : UsageRules or None
+        How usage is metered; None if it is not.
+    reports_address : str
+        Where usage is reported; empty if it is not metered.
     """
 
     name: str
@@ -63,6 +69,8 @@
     grace_ms: float
     apply_ms: float
     access: AccessRules = AccessRules()
+    usage: UsageRules | None = None
+    reports_address: str = ''
 
 
 def read_settings(path: Path) -> MachineSettings:
@@ -115,6 +123,8 @@
         ),
         grace_ms=_read_number(fields, 'bounds.graceS', '6') * MS_PER_S,
         apply_ms=_read_number(fields, 'bounds.configApplyMs', '3000'),
+        usage=_read_usage_rules(fields),
+        reports_address=fields.get('cloud.address', ''),
         access=AccessRules(
             is_strict=fields.get('bounds.strictRevoke', '').lower() == 'true',
             revoke_ms=_read_number(fields, 'bounds.revokeMs', '5000'),
@@ -155,6 +165,18 @@
     return f'{host}:{port}'
 
 
+def _read_usage_rules(fields: Mapping[str, str]) -> UsageRules | None:
+    """Return how usage is metered, if its reports are among the duties."""
+    if USAGE_DUTY not in fields.get('cloud.duties', '').split(','):
+        return None
+    _read_address(fields, 'cloud.address')
+    return UsageRules(
+        window_ms=_read_number(fields, 'bounds.usageWindowS', '5') * MS_PER_S,
+        late_ms=_read_number(fields, 'bounds.usageLateS', '10') * MS_PER_S,
+        lease_ms=_read_number(fields, 'bounds.leaseMs', '3000'),
+    )
+
+
 def _read_number(fields: Mapping[str, str], name: str, default: str) -> float:
     found = fields.get(name) or default
     try:
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from cowsliploom.dataplane import CallResult, ConnectionPool, HttpAnswer
+from cowsliploom.dataplane import (
+    CallResult,
+    ConnectionPool,
+    HeaderList,
+    HttpAnswer,
+    parse_count,
+)
 from cowsliploom.members import Batch, MirrorItem, Removal
 from cowsliploom.protocol import UnreadableError, decode_json
 
@@ -21,6 +27,7 @@
 REVISION_MISMATCH = 412
 REACHABLE_STATUSES = frozenset((OK, NOT_FOUND))
 PAGES_MAX = 64
+ERA = 'store-era'
 
 Decoded = TypeVar('Decoded')
 
@@ -61,10 +68,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyWrite:
-    """Content to be written to a key."""
+    """Content to be written to a key, which a lease may remove with its end."""
 
     key: str
     content: bytes
+    lease: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +82,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease of the store and its life, from the arrival of the call."""
+
+    lease_id: int
+    ttl_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoLease:
+    """The lease has ended."""
+
+
 @dataclass(frozen=True, slots=True)
 class ChangedMeanwhile:
     """A key was not at its expected revision; nothing was written."""
@@ -101,6 +122,15 @@
     revision: int
 
 
+class _WireKept(msgspec.Struct, rename='camel'):
+    ttl_ms: float
+
+
+class _WireLease(msgspec.Struct, rename='camel'):
+    lease: int
+    ttl_ms: float
+
+
 class PlatformStore:
     """Client of the store; no call raises on an outage.
 
@@ -108,11 +138,19 @@
     ----------
     address : str
         ``host:port`` of the store.
+
+    Attributes
+    ----------
+    calls : Counter
+        Counts the calls by kind.
+    era : int
+        How often the store has come back from an older copy, as last heard.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.calls: Counter[str] = Counter()
+        self.era = 0
         self._pool = ConnectionPool(address, CONNECT_TIMEOUT_MS)
 
     async def list_prefix(
@@ -183,7 +221,7 @@
                     {
                         'key': write.key,
                         'value': base64.b64encode(write.content).decode(),
-                        'lease': 0,
+                        'lease': write.lease,
                     }
                     for write in writes
                 ],
@@ -198,6 +236,28 @@
             return written
         return Written(written.revision)
 
+    async def grant_lease(
+        self, ttl_ms: float, timeout_ms: float
+    ) -> Lease | StoreUnanswered:
+        """Return a new lease."""
+        body = msgspec.json.encode({'ttlMs': round(ttl_ms)})
+        reply = await self._call('lease', 'POST', '/v1/kv-lease', timeout_ms, body)
+        granted = self._decode(reply, 'store.lease', _WireLease)
+        if isinstance(granted, StoreUnanswered):
+            return granted
+        return Lease(granted.lease, granted.ttl_ms)
+
+    async def keep_lease(
+        self, lease_id: int, timeout_ms: float
+    ) -> bool | NoLease | StoreUnanswered:
+        """Renew a lease; return True if it was renewed."""
+        path = f'/v1/kv-keep/{lease_id}'
+        reply = await self._call('keep', 'POST', path, timeout_ms)
+        if isinstance(reply, HttpAnswer) and reply.status == NOT_FOUND:
+            return NoLease()
+        kept = self._decode(reply, 'store.keep', _WireKept)
+        return kept if isinstance(kept, StoreUnanswered) else True
+
     async def watch(
         self, prefix: str, after: int, wait_ms: int, timeout_ms: float
     ) -> Batch | HistoryGone | StoreUnanswered:
@@ -228,10 +288,14 @@
         lines = [f'{method} {path} HTTP/1.1', f'Host: {self.address}']
         if body:
             lines.append('Content-Type: application/json')
+        if body or method == 'POST':
             lines.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join((*lines, '', ''))
         content = head.encode('latin-1') + body
-        return await self._pool.ask(content, timeout_ms)
+        reply = await self._pool.ask(content, timeout_ms)
+        if isinstance(reply, HttpAnswer):
+            self.era = max(self.era, read_era(reply.headers))
+        return reply
 
     def _decode(
         self, reply: CallResult | None, step: str, kind: type[Decoded]
@@ -261,3 +325,11 @@
         return base64.b64decode(text, validate=True)
     except (binascii.Error, ValueError):
         return b''
+
+
+def read_era(headers: HeaderList) -> int:
+    """Return how often the store came back from an older copy; 0 if not stated."""
+    for name, header in headers:
+        if name.lower() == ERA:
+            return parse_count(header.strip()) or 0
+    return 0
