Fail a call whose answer has a status that HTTP does not have

Change: a status outside 100 to 599 fails the call at once as undecodable; the connection is reset and the server's failures count it.

--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -28,6 +28,7 @@
 IDLE_DEFAULT_MS = 4000  # for servers that send no timeout in Keep-Alive
 STALE_ANSWERS_MAX = 3  # late answers to earlier requests, per connection
 PARSE_CHUNK_BYTES = 16_384  # parsed between two checks of the bounds
+STATUSES = range(100, 600)  # that HTTP has; others are no answers
 FINAL_STATUS_MIN = 200
 BODILESS_STATUSES = frozenset((204, 304))  # have no body, whatever Content-Length
 
@@ -82,6 +83,7 @@
         self._is_head_complete = False
         self._has_framing = False
         self._has_watched_header = False
+        self._is_status_odd = False
         self._stale_answers = 0
         self._completed: _CompletedCall | None = None
         self._has_trailing_bytes = False
@@ -159,6 +161,9 @@
     def on_headers_complete(self) -> None:
         """Count the following bytes as body, unless this was an interim answer."""
         status = self._parser.get_status_code()
+        self._is_status_odd = status not in STATUSES
+        if self._is_status_odd:
+            return
         self._is_head_complete = status >= FINAL_STATUS_MIN
         if self._has_watched_header:
             self.pool.head_watch.on_head(status, self._headers)
@@ -179,7 +184,8 @@
     def on_message_complete(self) -> None:
         """Complete the answer, unless it is an interim one."""
         status = self._parser.get_status_code()
-        if self._completed is None and status >= FINAL_STATUS_MIN:
+        is_final = status >= FINAL_STATUS_MIN and not self._is_status_odd
+        if self._completed is None and is_final:
             self._complete(keep=self._parser.should_keep_alive())
 
     # Methods for the pool.
@@ -229,6 +235,9 @@
             if self._completed is None:
                 self._fail(CallStep.DECODE, repr(error))
             self._has_trailing_bytes = True
+        if self._is_status_odd and self._completed is None:
+            status = self._parser.get_status_code()
+            self._fail(CallStep.DECODE, f'status {status} from {self.pool.address}')
         exceeded = self._meter.exceeded
         if exceeded and self._completed is None:
             self._fail(CallStep.DECODE, f'{exceeded} from {self.pool.address}')
