--- a/tests/processes/gateway_world.py
+++ b/tests/processes/gateway_world.py
@@ -62,7 +62,7 @@
     )
 
 
-def settings(number, store_address, seeds, window_s=10, constant=50):
+def settings(number, store_address, seeds, window_s=10, constant=50, lines=()):
     """Return the text of a gateway's settings file."""
     host = f'{HOST_PREFIX}.{number}'
     return '\n'.join(
@@ -79,6 +79,7 @@
             f'bounds.retryBudgetExtra={constant}',
             f'bounds.retryWindowS={window_s}',
             'bounds.graceS=4',
+            *lines,
         )
     )
 
@@ -149,10 +150,15 @@
             await asyncio.sleep(0.1)
         raise AssertionError('the gateways did not discover each other in time')
 
-    async def gateway(self, number, seeds=''):
-        """Start a gateway."""
+    async def gateway(self, number, seeds='', lines=()):
+        """Start a gateway, with more lines in its settings."""
         process = await start_gateway(
-            self.folder, number, self.store.address, seeds, window_s=self.window_s
+            self.folder,
+            number,
+            self.store.address,
+            seeds,
+            window_s=self.window_s,
+            lines=lines,
         )
         self.processes[number] = process
         return process
