Bound what callers' connections hold together, and end the greediest first

Cause: answers were written however much the client had left unread; each chunk of a body was kept as an object of its own; nothing looked at the sum of bytes and connections, so a crowd took the memory or descriptors of the process. Change: Room keeps the account against the limits of the settings and names the connections to end; no request is handled while its client doesn't read; chunks take their bytes; reading of requests is a module of its own (_request_reader).

--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -16,6 +16,7 @@
 from cowsliploom.dataplane._http_requests import Rejection as Rejection
 from cowsliploom.dataplane._numbers import parse_count as parse_count
 from cowsliploom.dataplane._pools import ConnectionPools as ConnectionPools
+from cowsliploom.dataplane._room import RoomLimits as RoomLimits
 from cowsliploom.dataplane._server import HttpListener as HttpListener
 from cowsliploom.dataplane._sockets import HeaderList as HeaderList
 from cowsliploom.dataplane._sockets import (
--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import cast
 
-import httptools
-
 from cowsliploom.dataplane._http_requests import HttpRequest, Rejection
-from cowsliploom.dataplane._rendering import head_without_offer, render_answer
+from cowsliploom.dataplane._rendering import render_answer
+from cowsliploom.dataplane._request_reader import ReadRequest, RequestReader
+from cowsliploom.dataplane._room import Room, RoomLimits
 from cowsliploom.dataplane._sockets import (
     HeaderList,
     bound_address,
@@ -22,11 +22,11 @@
 MS_PER_S = 1000
 TIMEOUT_CHECK_MS = 250
 REJECTED_LINGER_MS = 500  # for which a rejected caller may go on sending
-TUNNEL = b'CONNECT'  # the only method that can't be served without a switch
+RETRY_AFTER_TEXT = '1'  # seconds
 PIPELINE_MAX = 16  # pipelined requests queued on one connection
 BACKLOG = 512
-PARSE_CHUNK_BYTES = 16_384  # parsed between two checks of the bounds
-UNCOUNTED_BYTES = 256  # method, version and spaces, which the header count omits
+# Of a connection without a request: transport, parser and their buffers.
+CONNECTION_BYTES = 8192
 ROUND_TRIPS = 2  # for a request and an answer above the initial TCP window
 
 
@@ -49,16 +49,13 @@
     def __init__(self, server: 'HttpListener') -> None:
         self._server = server
         self.transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(self, server.limits)
         self._queued: deque[HttpRequest] = deque()
         self._current: HttpRequest | None = None
         self._on_disconnect: Callable[[], None] | None = None
-        self._target = b''
-        self._headers: HeaderList = []
-        self._header_bytes = 0
-        self._pending_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._queued_bytes = 0
+        self._is_write_paused = False
+        self._unsent_bytes = 0
         self._is_reading = False
         self._is_rejected = False
         self._rejection: bytes = b''
@@ -84,12 +81,15 @@
         self._peer = format_address(transport.get_extra_info('peername'))
         self.phase_start_ms = self._server.now_ms()
         self._server.connections.add(self)
+        self._server.note_held(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report to the open request that its caller has disconnected."""
         self._server.connections.discard(self)
+        self._server.room.remove(self)
         self.transport = None
         self._queued.clear()
+        self._reader.end()
         on_disconnect = self._on_disconnect
         self._on_disconnect = None
         self._current = None
@@ -98,79 +98,70 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received bytes."""
-        view = memoryview(chunk)
-        for start in range(0, len(chunk), PARSE_CHUNK_BYTES):
-            if self._is_rejected:
-                break
-            self._parse(view[start : start + PARSE_CHUNK_BYTES])
+        self._reader.feed(chunk)
+        self._server.note_held(self)
+
+    def pause_writing(self) -> None:
+        """Handle no further request while the caller does not read the answers."""
+        self._is_write_paused = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Go on with the queued requests."""
+        self._is_write_paused = False
+        self._server.note_held(self)
+        if self.transport is not None and len(self._queued) <= PIPELINE_MAX:
+            self.transport.resume_reading()
+        if self._queued:
+            self._server.loop.call_soon(self._handle_next)
 
-    # Callbacks of httptools.
+    # Events of the reader.
 
-    def on_message_begin(self) -> None:
-        """Start a request."""
+    def begin_request(self) -> None:
+        """Note that a request is being read."""
         self._is_reading = True
         self.phase_start_ms = self._server.now_ms()
-        self._target = b''
-        self._headers = []
-        self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        """Append a chunk of the target."""
-        self._target += url
-        self._count_header(len(url))
-
-    def on_header(self, name: bytes, header: bytes) -> None:
-        """Store and count a header."""
-        self._headers.append((name.decode('latin-1'), header.decode('latin-1')))
-        self._count_header(len(name) + len(header) + 4)
-
-    def on_headers_complete(self) -> None:
-        """Send 100 Continue to a caller that expects it before its body."""
-        self._pending_bytes = 0
-        if self._is_rejected or self._parser.should_upgrade():
-            return
-        for name, header in self._headers:
-            if name.lower() == 'expect' and header.lower() == '100-continue':
-                self._write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_body(self, chunk: bytes) -> None:
-        """Append a chunk of the body."""
-        self._pending_bytes = 0
-        self._body_bytes += len(chunk)
-        bytes_max = self._server.limits().body_bytes_max
-        if self._body_bytes > bytes_max:
-            self._reject(413, f'body over {bytes_max} bytes')
-            return
-        self._body.append(chunk)
 
-    def on_message_complete(self) -> None:
+    def end_request(self, read: ReadRequest) -> None:
         """Queue the complete request."""
-        self._pending_bytes = 0
-        if self._is_rejected or self._parser.should_upgrade():
-            return
         self._is_reading = False
         now_ms = self._server.now_ms()
         self.phase_start_ms = now_ms
         trips = ROUND_TRIPS + self._is_first_request  # the TCP handshake takes one more
         self._is_first_request = False
         request = HttpRequest(
-            self._parser.get_method().decode('latin-1'),
-            self._target.decode('latin-1'),
-            self._headers,
-            b''.join(self._body),
+            read.method,
+            read.target,
+            read.headers,
+            read.body,
             now_ms,
-            self._parser.should_keep_alive(),
+            read.keep_alive,
             self,
             trips * self._rtt_ms,
         )
         self._queued.append(request)
+        self._queued_bytes += len(request.body)
         if len(self._queued) > PIPELINE_MAX and self.transport is not None:
             self.transport.pause_reading()
         if self._current is None:
             self._handle_next()
 
+    def reject(self, status: int, reason: str) -> None:
+        """Answer an invalid request with an error status, and close.
+
+        Requests that were received before it are answered first.
+        """
+        if self._is_rejected:
+            return
+        self._is_rejected = True
+        self._reader.end()
+        rejection = Rejection(status, reason, self._peer, self._reader.headers)
+        self._server.on_rejected(rejection)
+        self._rejection = render_answer(status, [], b'', keep=False, method='GET')
+        if self._current is None and not self._queued:
+            self._end_rejected()
+
     # Methods for the listener and the request.
 
     def answer(
@@ -181,10 +172,11 @@
             return False
         is_last = self._server.is_draining and not self._queued
         keep = request.keep_alive and not is_last
-        self._write(render_answer(status, headers, body, keep, request.method))
+        self.write(render_answer(status, headers, body, keep, request.method))
         self._current = None
         self._on_disconnect = None
         self.phase_start_ms = self._server.now_ms()
+        self._server.note_held(self)
         if not keep:
             self.close()
         elif self._queued:
@@ -198,52 +190,63 @@
         if self.transport is not None:
             self.transport.close()
 
-    def check_timeouts(self, now_ms: float, limits: CallerLimits) -> None:
-        """Close the connection if it is idle, or sending a request, for too long."""
-        if self._current or self._queued:
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the connection takes."""
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        running = len(self._current.body) if self._current else 0
+        read = self._reader.held_bytes + self._queued_bytes
+        return CONNECTION_BYTES + unsent + running + read
+
+    def shed(self) -> None:
+        """End the connection, as the process lacks room.
+
+        A request that is not complete has not run; one that waits for its answer may
+        have, so its caller is told nothing.
+        """
+        transport = self.transport
+        if transport is None:
             return
-        elapsed_ms = now_ms - self.phase_start_ms
+        holds_request = self._current is not None or bool(self._queued)
+        if not (holds_request or transport.get_write_buffer_size()):
+            transport.write(self._server.busy_answer)
+        self._server.connections.discard(self)
+        transport.abort() if holds_request else transport.close()
+
+    def check_timeouts(self, now_ms: float, limits: CallerLimits) -> None:
+        """Close the connection of a caller that is idle or too slow."""
+        if self._is_write_paused:
+            self._check_progress(now_ms, limits)
+        elif not (self._current or self._queued):
+            self._check_request(now_ms - self.phase_start_ms, limits)
+
+    def _check_request(self, elapsed_ms: float, limits: CallerLimits) -> None:
+        """Close if no request is complete after the time that it may take."""
         if self._is_rejected:
             if elapsed_ms > REJECTED_LINGER_MS:
                 self.close()
         elif self._is_reading:
             if elapsed_ms > limits.header_timeout_ms:
-                self._reject(408, f'not whole after {round(elapsed_ms)} ms')
+                self.reject(408, f'not whole after {round(elapsed_ms)} ms')
         elif elapsed_ms > limits.idle_timeout_ms:
             self.close()
 
-    def _parse(self, chunk: memoryview) -> None:
-        """Parse a chunk and bound the bytes that the parser has not reported.
-
-        The parser reports a header only once it is complete. It ends a request that
-        offers another protocol at the end of its head. The offer may be ignored, so
-        the head is parsed again without it.
-        """
-        self._pending_bytes += len(chunk)
-        unparsed: memoryview | bytes = chunk
-        while unparsed and not self._is_rejected:
-            try:
-                self._parser.feed_data(unparsed)
-            except httptools.HttpParserUpgrade as upgrade:
-                rest = bytes(unparsed[upgrade.args[0] :])
-                offering = self._parser
-                self._parser = httptools.HttpRequestParser(self)
-                if offering.get_method() == TUNNEL:
-                    self._reject(405, 'CONNECT is not supported')
-                head = head_without_offer(offering, self._target, self._headers)
-                unparsed = head + rest
-                continue
-            except httptools.HttpParserError as error:
-                self._reject(400, repr(error))
-            break
-        bytes_max = self._server.limits().header_bytes_max + UNCOUNTED_BYTES
-        if self._pending_bytes > bytes_max:
-            self._reject(431, f'head over {bytes_max} bytes')
+    def _check_progress(self, now_ms: float, limits: CallerLimits) -> None:
+        """Abort the connection of a caller that has stopped to read its answers."""
+        if self.transport is None:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self.phase_start_ms = now_ms
+        elif now_ms - self.phase_start_ms > limits.idle_timeout_ms:
+            self.transport.abort()
 
     def _handle_next(self) -> None:
-        if self._current is not None or not self._queued:
+        if self._current is not None or not self._queued or self._is_write_paused:
             return
         request = self._queued.popleft()
+        self._queued_bytes -= len(request.body)
         if len(self._queued) == PIPELINE_MAX and self.transport is not None:
             self.transport.resume_reading()
         self._current = request
@@ -252,26 +255,6 @@
         if self._current is request:
             self._on_disconnect = on_disconnect
 
-    def _count_header(self, size: int) -> None:
-        self._header_bytes += size
-        bytes_max = self._server.limits().header_bytes_max
-        if self._header_bytes > bytes_max:
-            self._reject(431, f'head over {bytes_max} bytes')
-
-    def _reject(self, status: int, reason: str) -> None:
-        """Answer an invalid request with an error status, and close.
-
-        Requests that were received before it are answered first.
-        """
-        if self._is_rejected:
-            return
-        self._is_rejected = True
-        rejection = Rejection(status, reason, self._peer, self._headers)
-        self._server.on_rejected(rejection)
-        self._rejection = render_answer(status, [], b'', keep=False, method='GET')
-        if self._current is None and not self._queued:
-            self._end_rejected()
-
     def _end_rejected(self) -> None:
         """Write the rejection, and discard what the caller still sends for a while.
 
@@ -279,11 +262,12 @@
         the answers that it has not read yet.
         """
         self.phase_start_ms = self._server.now_ms()
-        self._write(self._rejection)
+        self.write(self._rejection)
         if self.transport is not None:
             self.transport.write_eof()
 
-    def _write(self, chunk: bytes) -> None:
+    def write(self, chunk: bytes) -> None:
+        """Send bytes to the caller."""
         if self.transport is not None:
             self.transport.write(chunk)
 
@@ -302,6 +286,8 @@
         Returns the limits in force.
     on_rejected : callable
         Called with each rejected request.
+    room : RoomLimits
+        Limits on what all connections hold together. Default none.
     """
 
     def __init__(
@@ -310,12 +296,15 @@
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
         on_rejected: Callable[[Rejection], None] = _ignore_rejection,
+        room: RoomLimits = RoomLimits(),  # noqa: WPS404 (frozen)
     ) -> None:
         self.address = address
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
         self.connections: set[ServerConnection] = set()
+        self.room: Room[ServerConnection] = Room(room)
+        self.shed_connections = 0
         self.is_draining = False
         self.loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
@@ -334,6 +323,19 @@
         )
         self._check_timeouts()
 
+    @property
+    def busy_answer(self) -> bytes:
+        """Answer to a request that was not read to its end for lack of room."""
+        headers = [('Retry-After', RETRY_AFTER_TEXT)]
+        return render_answer(503, headers, b'', keep=False, method='GET')
+
+    def note_held(self, connection: ServerConnection) -> None:
+        """Record what a connection holds, and make room if there is none."""
+        self.room.update(connection, connection.held_bytes)
+        for greediest in self.room.victims():
+            self.shed_connections += 1
+            greediest.shed()
+
     def drain(self) -> None:
         """Close each connection after its last queued answer."""
         self.is_draining = True
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -5,7 +5,12 @@
 import signal
 from pathlib import Path
 
-from cowsliploom.dataplane import FrameListener, HttpListener, HttpRequest
+from cowsliploom.dataplane import (
+    FrameListener,
+    HttpListener,
+    HttpRequest,
+    RoomLimits,
+)
 from cowsliploom.forwarding import CallerLimits, RequestDispatcher
 from cowsliploom.gateway._background import keep_running
 from cowsliploom.gateway._budget_log import BudgetLog
@@ -60,6 +65,10 @@
         self._is_draining = False
         self._stop = asyncio.Event()
         self._seed = int.from_bytes(os.urandom(4))
+        self._room = RoomLimits.of_process(
+            self.settings.memory_bytes, self.settings.files_max
+        )
+        self._shed_logged = 0
         self._tasks: list[asyncio.Task[None]] = []
         loop = asyncio.get_running_loop()
         self._loop = loop
@@ -110,6 +119,7 @@
             self._forwarder.handle,
             self._limits,
             self._request_log.record_rejection,
+            self._room,
         )
 
     async def run(self) -> None:
@@ -216,6 +226,7 @@
             self._pools.close_removed()
             self._budget_share.read()  # counts members even while no budget is used
             budget_log.report()
+            self._record_shed_connections()
             self._caller_listener.is_draining = (
                 self._is_draining or self._isolation.is_isolated
             )
@@ -226,6 +237,19 @@
         if late_ms > LATE_LOOP_MS:
             self.log.write('daemon', 'behind', late_ms=round(late_ms))
 
+    def _record_shed_connections(self) -> None:
+        """Report connections that were ended for lack of room since the last time."""
+        callers = self._caller_listener
+        if callers.shed_connections != self._shed_logged:
+            self.log.write(
+                'daemon',
+                'connections shed',
+                shed=callers.shed_connections - self._shed_logged,
+                connections=len(callers.connections),
+                held_bytes=round(callers.room.held_bytes),
+            )
+            self._shed_logged = callers.shed_connections
+
     def _resume(self, suspended_ms: float) -> None:
         """Add a suspension to the ages of received state; close idle connections."""
         self.log.write('daemon', 'resumed', missed_ms=round(suspended_ms))
@@ -283,5 +307,9 @@
             'configuration_confirmed_age_ms', round(in_force.confirmed_age_ms)
         )
         self.metrics.set_gauge('log_lines_lost', self.log.lost)
+        callers = self._caller_listener
+        self.metrics.set_gauge('caller_connections', len(callers.connections))
+        self.metrics.set_gauge('caller_held_bytes', callers.room.held_bytes)
+        self.metrics.set_gauge('caller_connections_shed', callers.shed_connections)
         headers = [('Content-Type', 'text/plain; version=0.4')]
         request.answer(200, headers, self.metrics.render().encode())
--- a/cowsliploom/platform/_settings.py
+++ b/cowsliploom/platform/_settings.py
@@ -9,6 +9,7 @@
 
 SETTINGS_VARIABLE = 'COWSLIPLOOM_SETTINGS'
 MS_PER_S = 1000
+BYTES_PER_MB = 1_000_000
 COMMENT_MARK = '#'
 USAGE_DUTY = 'usage_report'
 
@@ -51,6 +52,8 @@
         Time within which a new configuration is to be in force.
     access : AccessRules
         How withdrawn keys are treated.
+    memory_bytes, files_max : float
+        Memory and descriptors that the process may use; infinite if not stated.
     usage : UsageRules or None
         How usage is metered; None if it is not.
     reports_address : str
@@ -69,6 +72,8 @@
     grace_ms: float
     apply_ms: float
     access: AccessRules = AccessRules()
+    memory_bytes: float = float('inf')
+    files_max: float = float('inf')
     usage: UsageRules | None = None
     reports_address: str = ''
 
@@ -123,6 +128,8 @@
         ),
         grace_ms=_read_number(fields, 'bounds.graceS', '6') * MS_PER_S,
         apply_ms=_read_number(fields, 'bounds.configApplyMs', '3000'),
+        memory_bytes=_read_limit(fields, 'limits.memoryMb') * BYTES_PER_MB,
+        files_max=_read_limit(fields, 'limits.maxFds'),
         usage=_read_usage_rules(fields),
         reports_address=fields.get('cloud.address', ''),
         access=AccessRules(
@@ -177,6 +184,11 @@
     )
 
 
+def _read_limit(fields: Mapping[str, str], name: str) -> float:
+    """Return a limit of the process; infinite if it is not stated, or is 0."""
+    return _read_number(fields, name, '0') or float('inf')
+
+
 def _read_number(fields: Mapping[str, str], name: str, default: str) -> float:
     found = fields.get(name) or default
     try:
