Let relays report failures at once

Where many servers lost answers together, calls elsewhere came too late for the caller, though other replicas were idle. Change: failures are reported as they happen; answers are batched as before.

--- a/cowsliploom/forwarding/_relayed.py
+++ b/cowsliploom/forwarding/_relayed.py
@@ -87,11 +87,14 @@
     sub_requests : tuple of SubRequest
         One for each shard of the share.
     report_ms : float
-        When results are first reported, unless all are known earlier; after that
-        each result is reported as it arrives.
+        When answers are first reported, unless all are known earlier; after that
+        each one is reported as it arrives.
 
     Notes
     -----
+    Failures are reported at once. Where many servers lose answers together, a call
+    elsewhere is then still in time for the caller.
+
     A shard is called again only if the request certainly did not run. Hedges and
     retries are left to the requesting entry VM, so that a single one enforces the limit
     on attempts.
@@ -147,7 +150,9 @@
         """Return the report that is due now, or None."""
         unreported = self._unreported()
         is_due = now_ms >= self._report_ms or self.exchange.reply is not None
-        if not (unreported and is_due):
+        if not is_due:
+            unreported = [one for one in unreported if one.part is None]
+        if not unreported:
             return None
         self._reported.update(sub_request.service for sub_request in unreported)
         bodies = (
--- a/cowsliploom/forwarding/tests/test_relay.py
+++ b/cowsliploom/forwarding/tests/test_relay.py
@@ -270,6 +270,20 @@
     assert share.is_over
 
 
+def test_relay_reports_a_failure_at_once_and_keeps_the_answers_for_later():
+    """Answers lost on many servers were called for again too late for the caller."""
+    share, driver, calls = start_share()
+    driver.answer(calls['k00'].call_id, 10, good(b'a' * 32, 's0'))
+    lost = CallFailed(12, calls['k01'].call_id, CallStep.RECEIVE, 'reset', True)
+    driver.step(lost)
+    report = share.report(12)
+    assert [(part.shard, part.may_have_run) for part in report.parts] == [('k01', True)]
+    assert not report.records
+    assert share.report(13) is None
+    driver.answer(calls['k02'].call_id, 14, good(b'c' * 16, 's2'))
+    assert [part.shard for part in share.report(14).parts] == ['k00', 'k02']
+
+
 def test_relay_reports_at_once_when_all_shards_answered():
     share, driver, calls = start_share()
     for call in calls.values():
