Read load reports of four figures, with the speed of the server's machine

Cause: a report with a fourth figure was dropped whole, so work was placed without any server's load where servers send it. Change: the speed lengthens what is expected of a server's next calls; it loses its weight within a tenth of a second, as it changes many times a second. Result: two of the new cases of the report's decoding fail before.

--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -7,6 +7,9 @@
 from cowsliploom.forwarding._server_notices import ServerNotice, StandingNotice
 
 LOAD_FRESH_MS = 250.0  # older load reports are ignored
+USUAL_PERCENT = 100
+SPEED_LIFE_MS = 100.0  # in which a report of the machine's speed loses its weight
+SLOWDOWN_MAX = 8.0  # of a machine's speed, as far as it is believed
 LATENCY_SHARE = 0.1  # weight of the newest sample in the mean
 STALL_RATIO = 3.0  # of the mean; a call open for longer suggests a paused server
 STALL_MIN_MS = 15.0
@@ -72,11 +75,20 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that a backend server reported with an answer."""
+    """Load that a backend server reported with an answer.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that it runs, requests in its queue, and its slots.
+    work_percent : int
+        How long work takes on its machine at this moment; 100 is usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = USUAL_PERCENT
 
 
 @dataclass(frozen=True, slots=True)
@@ -292,6 +304,18 @@
         fresh = self._freshness(now_ms)
         return self.mean_ms * fresh + median_ms * (1 - fresh)
 
+    def slowdown(self, now_ms: float) -> float:
+        """Return how much longer than usual work takes on the server's machine.
+
+        Others share the machine, so the speed changes many times a second: a report
+        counts for the next calls and is forgotten linearly.
+        """
+        weight = 1 - (now_ms - self.load_ms) / SPEED_LIFE_MS
+        if weight <= 0:
+            return 1
+        reported = min(self.load.work_percent / USUAL_PERCENT, SLOWDOWN_MAX)
+        return 1 + (reported - 1) * weight
+
     def expected_ms(self, now_ms: float, median_ms: float) -> float:
         """Return the expected latency of one more call.
 
@@ -302,7 +326,7 @@
         median_ms : float
             Median latency of calls of this kind, over all servers.
         """
-        mean_ms = self.typical_ms(now_ms, median_ms)
+        mean_ms = self.typical_ms(now_ms, median_ms) * self.slowdown(now_ms)
         slots = max(1, self.record.slots)
         ahead = len(self.open_calls)
         if now_ms - self.load_ms < LOAD_FRESH_MS:
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -21,7 +21,8 @@
 TIMEOUT = 'deadline'  # the time left in ms, not a point in time
 TARGET = 'target-instance'
 SIGNATURE = 'response-signature'
-LOAD = 'server-load'  # running, waiting, slots
+LOAD = 'server-load'  # running, waiting, slots, and speed of the machine
+LOAD_FIGURES = (3, 4)
 NOT_RUN = 'not-executed'
 KEY = 'key'  # identifies a caller's tenant
 MS_PER_S = 1000
@@ -232,10 +233,9 @@
 
 
 def _parse_load(header: str) -> LoadReport | None:
-    """Decode a load report; None if it is invalid."""
+    """Decode a load report of three or four figures; None if it is invalid."""
     counts = [parse_count(field.strip()) for field in header.split(',')]
     known = [count for count in counts if count is not None]
-    if len(counts) != 3 or len(known) != len(counts):
+    if len(counts) not in LOAD_FIGURES or len(known) != len(counts):
         return None
-    running, waiting, slots = known
-    return LoadReport(running, waiting, slots)
+    return LoadReport(*known)
--- a/cowsliploom/platform/tests/test_documents.py
+++ b/cowsliploom/platform/tests/test_documents.py
@@ -232,6 +232,11 @@
     [
         ('3,0,8', LoadReport(3, 0, 8)),
         (' 3, 1 ,8', LoadReport(3, 1, 8)),
+        ('3,0,8,100', LoadReport(3, 0, 8, 100)),
+        ('3, 2, 8, 340', LoadReport(3, 2, 8, 340)),
+        ('3,0,8,x', None),
+        ('3,0,8,-1', None),
+        ('3,0,8,100,1', None),
         ('3,0', None),
         ('a,b,c', None),
         ('-1,0,2', None),
