Decide by wait and price when a call leaves the data centre

Cause: a server elsewhere had to be twice as fast, whatever the wait: long calls queued at home for as long as they take, and nothing bounded what all VMs together sent to one server elsewhere.

--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -14,6 +14,7 @@
 from cowsliploom.forwarding._fleet import Fleet as Fleet
 from cowsliploom.forwarding._fleet import ServerChange as ServerChange
 from cowsliploom.forwarding._fleet import calls_max as calls_max
+from cowsliploom.forwarding._leaving import LeavingChange as LeavingChange
 from cowsliploom.forwarding._messages import BackendAnswer as BackendAnswer
 from cowsliploom.forwarding._messages import CallAnswered as CallAnswered
 from cowsliploom.forwarding._messages import CallerLeft as CallerLeft
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -328,7 +328,12 @@
 
     def _send(self, sub_request: SubRequest, now_ms: float) -> Iterator[Command]:
         fleet = self._context.fleet
-        limits = CallLimits(self._schedule.median_ms(), sub_request.calls_max)
+        limits = CallLimits(
+            self._schedule.median_ms(),
+            sub_request.calls_max,
+            self.route.target_ms,
+            fleet.sharers,
+        )
         request_id = self.request.request_id
         server = fleet.choose(
             sub_request.service, sub_request.tried, now_ms, limits, request_id
--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from cowsliploom.forwarding._leaving import LeavingPolicy
 from cowsliploom.forwarding._moves import VersionSplit, VersionSplits
 from cowsliploom.forwarding._notice_board import NoServer, NoticeBoard, why_no_server
 from cowsliploom.forwarding._server_choice import CallLimits, ServerChoice
@@ -65,6 +66,11 @@
         self.notices = NoticeBoard(generator)
         self._splits = VersionSplits()
 
+    @property
+    def leaving(self) -> LeavingPolicy:
+        """Decides when calls leave the data centre."""
+        return self._choice.leaving
+
     def __len__(self) -> int:
         """Return the number of registered servers."""
         return len(self._servers)
--- a/cowsliploom/forwarding/_server_choice.py
+++ b/cowsliploom/forwarding/_server_choice.py
@@ -1,13 +1,13 @@
 """Choice of one server for a call among those that may be called."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from cowsliploom.forwarding._leaving import LeavingPolicy, leaving_price_ms
 from cowsliploom.forwarding._servers import Server
 
-# A remote server must be this much faster, as traffic between data centres costs.
-REMOTE_COST_RATIO = 2.0
 COST_JITTER = 0.1  # keeps entry VMs from all choosing the same server
 COLD_INTERVAL_MS = 500.0  # between requests that an owner sends to its cold server
 
@@ -22,10 +22,16 @@
         Median latency of calls of this kind, over all servers.
     calls_max : int
         Calls that this entry VM may have open at one server.
+    target_ms : float
+        Target latency of the request.
+    sharers : int
+        Entry VMs that may call the same servers.
     """
 
     median_ms: float
     calls_max: int
+    target_ms: float = math.inf
+    sharers: int = 1
 
 
 class ServerChoice:
@@ -44,8 +50,8 @@
     def __init__(
         self, generator: random.Random, data_centre: str, owns: Callable[[str], bool]
     ) -> None:
+        self.leaving = LeavingPolicy(data_centre)
         self._random = generator
-        self._data_centre = data_centre
         self._owns = owns
         self._cold_sent_ms: dict[str, float] = {}
 
@@ -63,9 +69,7 @@
         not_ejected = [
             server for server in with_capacity if not server.is_ejected(now_ms)
         ]
-        chosen = self._lowest_cost(
-            not_ejected or with_capacity, now_ms, limits.median_ms
-        )
+        chosen = self._cheapest(not_ejected or with_capacity, now_ms, limits)
         if chosen is None and not warm:
             return self._choose_cold(usable, now_ms)
         return chosen
@@ -73,6 +77,30 @@
     def forget(self, name: str) -> None:
         """Forget a removed server."""
         self._cold_sent_ms.pop(name, None)
+        self.leaving.forget(name)
+
+    def _cheapest(
+        self, servers: list[Server], now_ms: float, limits: CallLimits
+    ) -> Server | None:
+        """Return the best server at home, unless leaving the data centre pays."""
+        home = [server for server in servers if self.leaving.is_home(server)]
+        away = [server for server in servers if not self.leaving.is_home(server)]
+        median_ms = limits.median_ms
+        best_home = self._lowest_cost(home, now_ms, median_ms)
+        best_away = self._lowest_cost(away, now_ms, median_ms)
+        if best_home is None or best_away is None:
+            return best_home or best_away
+        away_ms = best_away.expected_ms(now_ms, median_ms)
+        pays = self.leaving.leaves(
+            best_home.record.service,
+            best_home.expected_ms(now_ms, median_ms),
+            self.leaving.away_ms(best_away, away_ms, now_ms),
+            leaving_price_ms(limits.target_ms, median_ms),
+            now_ms,
+        )
+        if pays and self.leaving.may_send(best_away, limits.sharers, now_ms):
+            return best_away
+        return best_home
 
     def _lowest_cost(
         self, servers: list[Server], now_ms: float, median_ms: float
@@ -83,8 +111,6 @@
 
     def _cost(self, server: Server, now_ms: float, median_ms: float) -> float:
         cost = server.expected_ms(now_ms, median_ms)
-        if server.record.data_centre != self._data_centre:
-            cost *= REMOTE_COST_RATIO
         return cost * self._random.uniform(1 - COST_JITTER, 1 + COST_JITTER)
 
     def _choose_cold(self, servers: Sequence[Server], now_ms: float) -> Server | None:
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -304,6 +304,12 @@
         fresh = self._freshness(now_ms)
         return self.mean_ms * fresh + median_ms * (1 - fresh)
 
+    def has_free_slot(self, now_ms: float) -> bool:
+        """Return whether the server has just reported a slot that nobody uses."""
+        is_fresh = now_ms - self.load_ms < LOAD_FRESH_MS
+        busy = self.load.running + self.load.waiting + len(self.open_calls)
+        return is_fresh and busy < self.load.slots
+
     def slowdown(self, now_ms: float) -> float:
         """Return how much longer than usual work takes on the server's machine.
 
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -300,6 +300,9 @@
         notices = self._dispatcher.fleet.notices
         for kind, count in notices.counts.items():
             self.metrics.set_gauge(f'server_notices_{kind}', count)
+        leaving = self._dispatcher.fleet.leaving
+        for kind, count in leaving.counts.items():
+            self.metrics.set_gauge(f'remote_calls_{kind}', count)
         self.metrics.set_gauge('open_requests', self._forwarder.open_requests)
         in_force = self._store_view.in_force(self._now_ms())
         self.metrics.set_gauge('configuration_version', in_force.version)
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -267,9 +267,13 @@
 
     async def _send(self, address: str, sent: PeerMessage) -> bool:
         sent = self._usage.annotate(sent, address)
+        sent_ms = self.now_ms()
         message = await self._calls.call(address, sent)
         if message is None:
             return False
+        now_ms = self.now_ms()
+        leaving = self._store_view.dispatcher.fleet.leaving
+        leaving.travel.add(message.data_centre, now_ms - sent_ms, now_ms)
         self._usage.acknowledge(address, sent)
         if not self._apply_message(message):
             follow_up = self._roster_sync.follow_up(
--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -6,6 +6,7 @@
 
 from cowsliploom import platform
 from cowsliploom.forwarding import (
+    LeavingChange,
     MoveOrder,
     RequestDispatcher,
     ServerHealthChange,
@@ -72,6 +73,7 @@
         self._held: dict[str, float] = {}
         self.expiry_hold = ExpiryHold()
         dispatcher.fleet.on_health_change = self._log_health_change
+        dispatcher.fleet.leaving.on_change = self._log_leaving
         dispatcher.access.is_current = self.is_current
         dispatcher.access.confirmed_age_ms = self.confirmed_age_ms
 
@@ -266,6 +268,16 @@
             reason=change.reason,
         )
 
+    def _log_leaving(self, change: LeavingChange) -> None:
+        self.log.write(
+            'placement',
+            'leaves data centre' if change.leaves else 'stays in data centre',
+            service=change.service,
+            home_ms=round(change.home_ms, 1),
+            away_ms=round(change.away_ms, 1),
+            price_ms=round(change.price_ms, 1),
+        )
+
     def _update_fleet(self, provenance: Provenance, now_ms: float) -> None:
         changes = self.dispatcher.fleet.update(self._records.values(), now_ms)
         if len(changes) > CHANGE_LINES_MAX:
