--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -16,11 +16,11 @@
 from cowsliploom.gateway._budget_log import BudgetLog
 from cowsliploom.gateway._budget_share import BudgetShare
 from cowsliploom.gateway._calls import ServerPools
+from cowsliploom.gateway._fleet_tasks import DaemonParts, FleetTasks
 from cowsliploom.gateway._forwarder import Forwarder
 from cowsliploom.gateway._isolation import Isolation
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._metrics import Metrics
-from cowsliploom.gateway._moves_task import MovesTask
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
@@ -28,13 +28,11 @@
 from cowsliploom.gateway._store_watch import StoreWatch
 from cowsliploom.gateway._suspension import SuspensionDetector
 from cowsliploom.gateway._usage_exchange import UsageExchange
-from cowsliploom.gateway._usage_task import UsageTask
 from cowsliploom.members import Member, MembershipTable
 from cowsliploom.platform import (
     MachineSettings,
     PlatformStore,
     SettingsError,
-    UsageReports,
     read_settings,
 )
 
@@ -100,7 +98,18 @@
             self.settings.apply_ms,
             self._usage,
         )
-        self._usage_task = self._make_usage_task()
+        self._fleet_tasks = FleetTasks(
+            DaemonParts(
+                self.settings,
+                self._store_view,
+                self._peers,
+                self._store,
+                self._pools,
+                self._usage,
+                self.log,
+                self.metrics,
+            )
+        )
         self._budget_share = BudgetShare(
             known, self._dispatcher.budgets, self.log, self._now_ms
         )
@@ -150,14 +159,12 @@
         ]
         for listener in listeners:
             await listener.start()
-        moves = MovesTask(self._store_view, self._peers, self._store, self.log)
         tasks = (
             self._watch.run,
             self._peers.run,
             self._sweep,
             self._isolation.run,
-            moves.run,
-            *((self._usage_task.run,) if self._usage_task else ()),
+            *self._fleet_tasks.runs(),
         )
         for task in tasks:
             running = self._loop.create_task(keep_running(task, self.log))
@@ -171,21 +178,6 @@
         )
         return listeners
 
-    def _make_usage_task(self) -> UsageTask | None:
-        rules = self.settings.usage
-        if rules is None:
-            return None
-        return UsageTask(
-            rules,
-            UsageReports(self.settings.reports_address),
-            self._usage,
-            self._peers,
-            self._store_view,
-            self._store,
-            self.log,
-            self.metrics,
-        )
-
     async def _drain(self) -> None:
         """Leave the membership while still serving, then wait for open requests."""
         started_ms = self._now_ms()
@@ -196,8 +188,7 @@
         )
         self._caller_listener.drain()
         self._forwarder.stop_at(stop_ms)
-        if self._usage_task is not None:
-            self._usage_task.stop()
+        self._fleet_tasks.stop()
         self._loop.create_task(self._peers.leave())
         while self._now_ms() < stop_ms:
             if self._now_ms() - started_ms > CLOSE_IDLE_AFTER_MS:
