Tell operators where a request would go now, without sending it

Cause: an operator could see where requests went, not where one would go. Change: cowsliploomctl where asks a running gateway at its control address; the answer comes from admission, relay plan and the predicates of the choice. The key is used and never repeated, and nothing changes by asking.

--- a/cowsliploom/cli/ctl.py
+++ b/cowsliploom/cli/ctl.py
@@ -19,6 +19,7 @@
 from cowsliploom.cli._output import OutputForm, print_json, print_note, print_text
 from cowsliploom.cli._session import RESOURCES_PATH, Session, Target, pause
 from cowsliploom.cli._waiting import wait_for_move, wait_for_revision
+from cowsliploom.cli._where import ask_where, render_where
 from cowsliploom.daemons._settings import SettingsChecker
 from cowsliploom.resources import Kind
 
@@ -235,6 +236,23 @@
             print_text(render_trace(trace))
 
 
+@main.command('where')
+@click.argument('method')
+@click.argument('url')
+@click.option('--vm', required=True, help='Control address of a running entry VM.')
+@click.option('--header', multiple=True, help='NAME: TEXT; may be repeated.')
+@click.pass_obj
+def show_where(
+    session: Session, method: str, url: str, vm: str, header: tuple[str, ...]
+) -> None:
+    """Show where a request would go now, and why, without sending it."""
+    answer = ask_where(vm, method, url, header)
+    if session.form is OutputForm.JSON:
+        print_json(answer)
+    else:
+        print_text(render_where(answer))
+
+
 @main.command()
 @click.argument('shell', type=click.Choice(['bash', 'zsh', 'fish']))
 def completion(shell: str) -> None:
--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -74,3 +74,5 @@
 from cowsliploom.forwarding._tenants import Tenant as Tenant
 from cowsliploom.forwarding._tenants import TenantTable as TenantTable
 from cowsliploom.forwarding._tenants import key_digest as key_digest
+from cowsliploom.forwarding._where import Explanation as Explanation
+from cowsliploom.forwarding._where import explain_request as explain_request
--- a/cowsliploom/forwarding/_dispatcher.py
+++ b/cowsliploom/forwarding/_dispatcher.py
@@ -131,7 +131,7 @@
         sub_requests = self._sub_requests(route)
         for sub_request in sub_requests:
             sub_request.budget.earn()
-        shares = self._relay_shares(route, request.arrived_ms)
+        shares = self.relay_shares(route, request.arrived_ms)
         return Exchange(
             self, request, route, sub_requests, shares, reply_policy=None, tenant=tenant
         )
@@ -178,7 +178,7 @@
         """Return a randomised retry delay, so that callers do not retry together."""
         return base_ms * self._random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
 
-    def _relay_shares(self, route: Route, now_ms: float) -> tuple[RelayShare, ...]:
+    def relay_shares(self, route: Route, now_ms: float) -> tuple[RelayShare, ...]:
         """Return the shares of responsive relays; other shards are called directly."""
         members = self.members()
         if route.fan_out is None or not members:
--- a/cowsliploom/forwarding/_server_choice.py
+++ b/cowsliploom/forwarding/_server_choice.py
@@ -8,6 +8,7 @@
 from cowsliploom.forwarding._leaving import LeavingPolicy, leaving_price_ms
 from cowsliploom.forwarding._servers import Server
 
+USABLE = 'usable'
 COST_JITTER = 0.1  # keeps entry VMs from all choosing the same server
 COLD_INTERVAL_MS = 500.0  # between requests that an owner sends to its cold server
 
@@ -34,6 +35,19 @@
     sharers: int = 1
 
 
+def assess(server: Server, now_ms: float) -> str:
+    """Return ``'usable'``, or why a server is called only if no other is left."""
+    if not server.accepts_requests:
+        return 'leaving' if server.standing.is_leaving else server.record.state.value
+    if server.standing.is_paused(now_ms):
+        return 'paused'
+    if server.is_cold(now_ms):
+        return 'cold'
+    if server.is_full(now_ms):
+        return 'full'
+    return 'ejected' if server.is_ejected(now_ms) else USABLE
+
+
 class ServerChoice:
     """Choose the server with the lowest expected cost; cold ones only by their owner.
 
@@ -63,8 +77,7 @@
         with_capacity = [
             server
             for server in warm
-            if len(server.open_calls) < limits.calls_max
-            and now_ms >= server.full_until_ms
+            if len(server.open_calls) < limits.calls_max and not server.is_full(now_ms)
         ]
         not_ejected = [
             server for server in with_capacity if not server.is_ejected(now_ms)
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -197,6 +197,10 @@
         """Return whether the server is still warming up."""
         return now_ms < self.cold_until_ms
 
+    def is_full(self, now_ms: float) -> bool:
+        """Return whether the server has just rejected a call for lack of capacity."""
+        return now_ms < self.full_until_ms
+
     def is_ejected(self, now_ms: float) -> bool:
         """Return whether the server is ejected after failures, or silent."""
         return now_ms < self.ejected_until_ms or self.is_silent(now_ms)
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -30,6 +30,8 @@
 from cowsliploom.gateway._update_fetcher import UpdateFetcher
 from cowsliploom.gateway._update_propagation import UpdatePropagation
 from cowsliploom.gateway._usage_exchange import UsageExchange
+from cowsliploom.gateway._where import PATH as WHERE_PATH
+from cowsliploom.gateway._where import answer_where
 from cowsliploom.members import (
     STALE_MS,
     WATCHERS,
@@ -284,6 +286,9 @@
         return True
 
     def _handle_request(self, request: HttpRequest) -> None:
+        if request.target == WHERE_PATH:
+            answer_where(self._store_view.dispatcher, request, self.now_ms())
+            return
         message = decode_message(request.body)
         if message is None:
             self._log.write('members', 'unreadable', bytes=len(request.body))
--- a/cowsliploom/gateway/tests/test_updates_of_fleet.py
+++ b/cowsliploom/gateway/tests/test_updates_of_fleet.py
@@ -45,6 +45,7 @@
     """Request of a peer that keeps its answer."""
 
     body: bytes
+    target: str = '/'
     answers: list[bytes] = field(default_factory=list)
 
     def answer(self, status, headers, body):
