Answer 503 only to a request that is being read when a connection is shed

Cause (read in the diff): a shed connection without a request got bytes that no request waits for, and reading was paused on a transport that was closing. Change: the answer goes only to a request that has begun; both cases are guarded. Result: dataplane and crowd tests pass.

--- a/cowsliploom/dataplane/_server.py
+++ b/cowsliploom/dataplane/_server.py
@@ -104,15 +104,19 @@
     def pause_writing(self) -> None:
         """Handle no further request while the caller does not read the answers."""
         self._is_write_paused = True
-        if self.transport is not None:
-            self.transport.pause_reading()
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Go on with the queued requests."""
         self._is_write_paused = False
         self._server.note_held(self)
-        if self.transport is not None and len(self._queued) <= PIPELINE_MAX:
-            self.transport.resume_reading()
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        if len(self._queued) <= PIPELINE_MAX:
+            transport.resume_reading()
         if self._queued:
             self._server.loop.call_soon(self._handle_next)
 
@@ -201,14 +205,15 @@
     def shed(self) -> None:
         """End the connection, as the process lacks room.
 
-        A request that is not complete has not run; one that waits for its answer may
-        have, so its caller is told nothing.
+        A request that is not complete has not run, and is told so. One that waits for
+        its answer may have, and a connection without a request expects no answer.
         """
         transport = self.transport
         if transport is None:
             return
         holds_request = self._current is not None or bool(self._queued)
-        if not (holds_request or transport.get_write_buffer_size()):
+        is_reading = self._is_reading and not self._is_rejected
+        if is_reading and not (holds_request or transport.get_write_buffer_size()):
             transport.write(self._server.busy_answer)
         self._server.connections.discard(self)
         transport.abort() if holds_request else transport.close()
