--- a/cowsliploom/forwarding/_dispatcher.py
+++ b/cowsliploom/forwarding/_dispatcher.py
@@ -250,7 +250,7 @@
         rules_of_service = self.table.rules(service)
         sharers = sharers or self.fleet.sharers
         allowed = calls_max(rules_of_service.connections_max, sharers)
-        return SubRequest(service, budget, allowed, counts)
+        return SubRequest(service, budget, allowed, counts, sharers)
 
 
 def _relay_record(member: Member) -> ServerRecord:
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -332,7 +332,7 @@
             self._schedule.median_ms(),
             sub_request.calls_max,
             self.route.target_ms,
-            fleet.sharers,
+            sub_request.sharers,
         )
         request_id = self.request.request_id
         server = fleet.choose(
--- a/cowsliploom/forwarding/_leaving.py
+++ b/cowsliploom/forwarding/_leaving.py
@@ -10,7 +10,6 @@
 # What traffic between data centres costs, as waiting that callers would accept for it.
 PRICE_TARGET_SHARE = 0.1
 STAY_AWAY_SHARE = 0.5  # of the price, for a service that leaves already
-ROOM_SHARE = 0.5  # of a remote server's slots, for all VMs elsewhere together
 TOKENS_MAX = 1.0
 TRAVEL_LIFE_MS = 30_000.0
 NOTICE_INTERVAL_MS = 1000.0  # between notices about one service
@@ -74,7 +73,7 @@
     Load: a data centre whose own servers are too few or slow for a while, beside others
     that have room. Only what does not find a server in time at home leaves, as the
     wait at home falls with each call that does. All VMs see the same servers elsewhere,
-    so each sends no more than its part of a share of their room.
+    so each sends no more than its part of what their slots bear.
 
     Parameters
     ----------
@@ -152,7 +151,7 @@
             Time of this entry VM's monotonic clock.
         """
         slots = max(1, server.record.slots)
-        rate = ROOM_SHARE * slots / max(1, server.mean_ms) / max(1, sharers)
+        rate = slots / max(1, server.mean_ms) / max(1, sharers)
         tokens, filled_ms = self._tokens.get(server.name, (TOKENS_MAX, now_ms))
         tokens = min(TOKENS_MAX, tokens + rate * (now_ms - filled_ms))
         is_free = server.has_free_slot(now_ms)
--- a/cowsliploom/forwarding/_sub_request.py
+++ b/cowsliploom/forwarding/_sub_request.py
@@ -53,6 +53,8 @@
         Limit on open calls at one server.
     counts : SubRequestCounts
         Counts that the sub-requests of one request share.
+    sharers : int
+        Entry VMs that may call the same servers. Default 1.
     """
 
     def __init__(
@@ -61,8 +63,10 @@
         budget: ExtraBudget,
         calls_max: int,
         counts: SubRequestCounts,
+        sharers: int = 1,
     ) -> None:
         counts.total += 1
+        self.sharers = sharers
         self.counts = counts
         self.is_open = True
         self.service = service
