--- a/cowsliploom/cli/_where.py
+++ b/cowsliploom/cli/_where.py
@@ -66,7 +66,7 @@
     version = answer['version']
     if answer['outcome']:
         return f'version {version}: {answer["outcome"]}: {answer["reason"]}'
-    tenant = answer['tenant'] or 'none'
+    workspace = answer['workspace'] or 'none'
     rows = [
         (
             destination['service'],
@@ -84,7 +84,7 @@
     ]
     columns = ('SERVICE', 'SHARE', 'CALLED BY', 'SERVER', 'DATA CENTRE', 'STANDING')
     head = (*columns, 'EXPECTED MS', 'OPEN', 'LOAD AGE MS')
-    title = f'version {version}, route {answer["route"]}, tenant {tenant}'
+    title = f'version {version}, route {answer["route"]}, workspace {workspace}'
     return f'{title}\n{render_table(head, rows)}'
 
 
--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -70,9 +70,9 @@
 from cowsliploom.forwarding._servers import ServerRecord as ServerRecord
 from cowsliploom.forwarding._servers import ServerState as ServerState
 from cowsliploom.forwarding._sub_request import SubRequest as SubRequest
-from cowsliploom.forwarding._tenants import NO_TENANT as NO_TENANT
-from cowsliploom.forwarding._tenants import Tenant as Tenant
-from cowsliploom.forwarding._tenants import TenantTable as TenantTable
-from cowsliploom.forwarding._tenants import key_digest as key_digest
 from cowsliploom.forwarding._where import Explanation as Explanation
 from cowsliploom.forwarding._where import explain_request as explain_request
+from cowsliploom.forwarding._workspaces import NO_WORKSPACE as NO_WORKSPACE
+from cowsliploom.forwarding._workspaces import Workspace as Workspace
+from cowsliploom.forwarding._workspaces import WorkspaceTable as WorkspaceTable
+from cowsliploom.forwarding._workspaces import key_digest as key_digest
--- a/cowsliploom/forwarding/_access.py
+++ b/cowsliploom/forwarding/_access.py
@@ -1,11 +1,11 @@
-"""Which route serves a request, and as which tenant's, or why none does; sans-IO."""
+"""Which route serves a request, and as which workspace's, or why none does; sans-IO."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from cowsliploom.forwarding._messages import CallerRequest, ErrorReply, Outcome
 from cowsliploom.forwarding._routes import Route, RouteTable
-from cowsliploom.forwarding._tenants import NO_TENANT, Tenant
+from cowsliploom.forwarding._workspaces import NO_WORKSPACE, Workspace
 
 RETRY_AFTER_MS = 300.0  # a configuration arrives within this time or much later
 
@@ -28,10 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Admission:
-    """Route and tenant by which a request is served."""
+    """Route and workspace by which a request is served."""
 
     route: Route
-    tenant: Tenant
+    workspace: Workspace
 
 
 class AccessControl:
@@ -74,26 +74,26 @@
             return self._denied(Outcome.NO_ROUTE, reason, now_ms)
         if route.name in self.unreachable:
             return self._refused('cut off from the servers of too many shards')
-        if not table.tenants:
-            return Admission(route, NO_TENANT)
-        tenant = table.tenants.find(request.key)
+        if not table.workspaces:
+            return Admission(route, NO_WORKSPACE)
+        workspace = table.workspaces.find(request.key)
         if route.is_public:
-            return Admission(route, tenant or NO_TENANT)
-        if tenant is None:
+            return Admission(route, workspace or NO_WORKSPACE)
+        if workspace is None:
             reason = 'no known key; the request has not run'
             return self._denied(Outcome.NO_KEY, reason, now_ms)
-        return self._admit_tenant(route, tenant, now_ms)
+        return self._admit_workspace(route, workspace, now_ms)
 
-    def _admit_tenant(
-        self, route: Route, tenant: Tenant, now_ms: float
+    def _admit_workspace(
+        self, route: Route, workspace: Workspace, now_ms: float
     ) -> Admission | ErrorReply:
         age_ms = self.confirmed_age_ms(now_ms)
         if self.rules.is_strict and age_ms > self.rules.revoke_ms:
             return self._refused(f'keys not confirmed for {round(age_ms)} ms')
-        if route.tenants and tenant.name not in route.tenants:
-            reason = f'{tenant.name} may not use this route; the request has not run'
+        if route.workspaces and workspace.name not in route.workspaces:
+            reason = f'{workspace.name} may not use this route; the request has not run'
             return self._denied(Outcome.NOT_ALLOWED, reason, now_ms)
-        return Admission(route, tenant)
+        return Admission(route, workspace)
 
     def _denied(self, outcome: Outcome, reason: str, now_ms: float) -> ErrorReply:
         """Return a denial, which is final only if the configuration is current.
--- a/cowsliploom/forwarding/_dispatcher.py
+++ b/cowsliploom/forwarding/_dispatcher.py
@@ -127,13 +127,19 @@
         admission = self.access.admit(self.table, request)
         if isinstance(admission, ErrorReply):
             return admission
-        route, tenant = admission.route, admission.tenant
+        route, workspace = admission.route, admission.workspace
         sub_requests = self._sub_requests(route)
         for sub_request in sub_requests:
             sub_request.budget.earn()
         shares = self.relay_shares(route, request.arrived_ms)
         return Exchange(
-            self, request, route, sub_requests, shares, reply_policy=None, tenant=tenant
+            self,
+            request,
+            route,
+            sub_requests,
+            shares,
+            reply_policy=None,
+            workspace=workspace,
         )
 
     def open_share(
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -1,11 +1,8 @@
 """State machine of one request, from arrival to reply; sans-IO."""
 
 from collections.abc import Iterator
-from typing import Protocol
 
-from cowsliploom.forwarding._call_history import CallHistory
-from cowsliploom.forwarding._fleet import Fleet
-from cowsliploom.forwarding._latency import RecentLatency
+from cowsliploom.forwarding._exchange_context import ExchangeContext, ReplyPolicy
 from cowsliploom.forwarding._messages import (
     CallAnswered,
     CallerLeft,
@@ -34,60 +31,14 @@
 from cowsliploom.forwarding._routes import Route
 from cowsliploom.forwarding._schedule import CallSchedule, ReportTiming
 from cowsliploom.forwarding._server_choice import CallLimits
-from cowsliploom.forwarding._servers import Server
 from cowsliploom.forwarding._sub_request import Attempt, SubRequest
-from cowsliploom.forwarding._tenants import NO_TENANT, Tenant
+from cowsliploom.forwarding._workspaces import NO_WORKSPACE, Workspace
 
 CAPACITY_POLL_MS = 4.0  # interval at which a server with capacity is looked for
 LINGER_MS = 300.0  # open calls may complete for this long after the reply
 CALL_TIMEOUT_MIN_MS = 2.0
 
 
-class ExchangeContext(Protocol):
-    """State that all exchanges share."""
-
-    fleet: Fleet
-    calls: CallHistory
-
-    @property
-    def loop_lag_ms(self) -> float:
-        """Typical delay between a timer's due time and its handling."""
-        ...
-
-    @property
-    def report_lag_ms(self) -> float:
-        """Typical delay between a report's due time at the relay and its arrival."""
-        ...
-
-    def record_report_lag(self, lag_ms: float) -> None:
-        """Record by how much a relay's first report arrived after it was due."""
-        ...
-
-    def next_call_id(self) -> int:
-        """Return an unused call id."""
-        ...
-
-    def latency(self, route: Route) -> RecentLatency:
-        """Return the recent latency of a route's calls."""
-        ...
-
-    def relay(self, share: RelayShare, now_ms: float) -> Server:
-        """Return the relay of a share, tracked like a backend server."""
-        ...
-
-    def retry_after_ms(self, base_ms: float) -> float:
-        """Return a randomised retry delay, so that callers do not retry together."""
-        ...
-
-
-class ReplyPolicy(Protocol):
-    """Decides when and how a request is replied to."""
-
-    def decide(self, now_ms: float) -> Reply | None:
-        """Return the reply, or None if the request goes on waiting."""
-        ...
-
-
 class Exchange:
     """Send, hedge, retry and answer one request within its deadlines.
 
@@ -105,8 +56,8 @@
         Shards that are called through relays. Default none.
     reply_policy : ReplyPolicy or None
         Decides on the reply; by default ``CallerReplyPolicy``.
-    tenant : Tenant
-        Tenant of the caller. Default none.
+    workspace : Workspace
+        Workspace of the caller. Default none.
     """
 
     def __init__(
@@ -117,10 +68,10 @@
         sub_requests: tuple[SubRequest, ...],
         shares: tuple[RelayShare, ...] = (),
         reply_policy: ReplyPolicy | None = None,
-        tenant: Tenant = NO_TENANT,
+        workspace: Workspace = NO_WORKSPACE,
     ) -> None:
         self.request = request
-        self.tenant = tenant
+        self.workspace = workspace
         self.route = route
         self.sub_requests = sub_requests
         self.reply: Reply | None = None
--- a/cowsliploom/forwarding/_relayed.py
+++ b/cowsliploom/forwarding/_relayed.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from cowsliploom.forwarding._exchange import Exchange, ExchangeContext
+from cowsliploom.forwarding._exchange import Exchange
+from cowsliploom.forwarding._exchange_context import ExchangeContext
 from cowsliploom.forwarding._messages import (
     CallerRequest,
     Command,
--- a/cowsliploom/forwarding/_routes.py
+++ b/cowsliploom/forwarding/_routes.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from cowsliploom.forwarding._tenants import TenantTable
+from cowsliploom.forwarding._workspaces import WorkspaceTable
 
 HEADER_BYTES_MAX = 16_384
 BODY_BYTES_MAX = 262_144
@@ -63,8 +63,8 @@
         Set for a route that calls many shards.
     is_public : bool
         Whether callers need no key.
-    tenants : frozenset of str
-        Names of the tenants that may use the route; empty for all.
+    workspaces : frozenset of str
+        Names of the workspaces that may use the route; empty for all.
     """
 
     name: str
@@ -78,7 +78,7 @@
     services: tuple[WeightedService, ...] = ()
     fan_out: FanOut | None = None
     is_public: bool = False
-    tenants: frozenset[str] = frozenset()
+    workspaces: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,8 +134,8 @@
         Rules by service.
     limits : CallerLimits
         Limits for callers.
-    tenants : TenantTable
-        Tenants and their keys; empty if callers need none.
+    workspaces : WorkspaceTable
+        Workspaces and their keys; empty if callers need none.
 
     Examples
     --------
@@ -152,7 +152,7 @@
     routes: tuple[Route, ...] = ()
     services: Mapping[str, ServiceRules] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
-    tenants: TenantTable = TenantTable()
+    workspaces: WorkspaceTable = WorkspaceTable()
     _by_host: dict[str, dict[str, Route]] = field(default_factory=dict, init=False)
 
     def __post_init__(self) -> None:
--- a/cowsliploom/forwarding/_where.py
+++ b/cowsliploom/forwarding/_where.py
@@ -81,8 +81,8 @@
         Version of the configuration in force.
     outcome, reason : str
         How the request would end at once, and why; empty if it would be served.
-    route, tenant : str
-        Route and tenant; empty if it would not be served.
+    route, workspace : str
+        Route and workspace; empty if it would not be served.
     destinations : tuple of Destination
         Services that it needs.
     """
@@ -91,7 +91,7 @@
     outcome: str = ''
     reason: str = ''
     route: str = ''
-    tenant: str = ''
+    workspace: str = ''
     destinations: tuple[Destination, ...] = ()
 
 
@@ -108,7 +108,7 @@
     return Explanation(
         version,
         route=route.name,
-        tenant=admission.tenant.name,
+        workspace=admission.workspace.name,
         destinations=tuple(destinations),
     )
 
--- a/cowsliploom/forwarding/_tenants.py
+++ b/cowsliploom/forwarding/_workspaces.py
@@ -1,4 +1,4 @@
-"""Tenants, the digests of their keys, and who may use a route."""
+"""Workspaces, the digests of their keys, and who may use a route."""
 
 import hashlib
 from collections.abc import Mapping
@@ -8,7 +8,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Tenant:
+class Workspace:
     """A customer whose callers identify themselves by keys.
 
     Parameters
@@ -23,7 +23,7 @@
     rank: int | None = None
 
 
-NO_TENANT = Tenant()
+NO_WORKSPACE = Workspace()
 
 
 def key_digest(key: str) -> bytes:
@@ -36,24 +36,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TenantTable:
-    """Tenants of one configuration, by the digests of their keys.
+class WorkspaceTable:
+    """Workspaces of one configuration, by the digests of their keys.
 
     Examples
     --------
-    >>> table = TenantTable({key_digest('k-1'): Tenant('ada')})
+    >>> table = WorkspaceTable({key_digest('k-1'): Workspace('ada')})
     >>> table.find('k-1')
-    Tenant(name='ada', rank=None)
+    Workspace(name='ada', rank=None)
     >>> table.find('k-2') is None
     True
     """
 
-    by_digest: Mapping[bytes, Tenant] = field(default_factory=dict)
+    by_digest: Mapping[bytes, Workspace] = field(default_factory=dict)
 
     def __bool__(self) -> bool:
         """Whether callers need keys at all."""
         return bool(self.by_digest)
 
-    def find(self, key: str) -> Tenant | None:
-        """Return the tenant that holds a key, or None."""
+    def find(self, key: str) -> Workspace | None:
+        """Return the workspace that holds a key, or None."""
         return self.by_digest.get(key_digest(key)) if key else None
--- a/cowsliploom/forwarding/tests/test_access.py
+++ b/cowsliploom/forwarding/tests/test_access.py
@@ -1,23 +1,23 @@
-"""Requests are served as the tenant's that holds their key, or not at all."""
+"""Requests are served as the workspace's that holds their key, or not at all."""
 
 import pytest
 
 from cowsliploom.forwarding import (
-    NO_TENANT,
+    NO_WORKSPACE,
     AccessRules,
     CallerRequest,
     Exchange,
     Outcome,
     Route,
     RouteTable,
-    Tenant,
-    TenantTable,
     WeightedService,
+    Workspace,
+    WorkspaceTable,
     key_digest,
 )
 from cowsliploom.forwarding.tests.dispatcher_harness import make_dispatcher
 
-ADA, BEA = Tenant('ada', rank=2), Tenant('bea')
+ADA, BEA = Workspace('ada', rank=2), Workspace('bea')
 KEYS = {'k-ada': ADA, 'k-ada-2': ADA, 'k-bea': BEA}
 
 
@@ -30,16 +30,16 @@
 ROUTES = (
     route('/all/'),
     route('/open/', is_public=True),
-    route('/ada/', tenants=frozenset(('ada',))),
+    route('/ada/', workspaces=frozenset(('ada',))),
 )
 
 
 def dispatcher_with(keys, is_current=True, age_ms=0, is_strict=False):
-    """Return a dispatcher whose tenants hold keys."""
+    """Return a dispatcher whose workspaces hold keys."""
     dispatcher = make_dispatcher()
     by_digest = {key_digest(key): KEYS[key] for key in keys}
-    tenants = TenantTable(by_digest)
-    dispatcher.apply_table(RouteTable(4, ROUTES, tenants=tenants))
+    workspaces = WorkspaceTable(by_digest)
+    dispatcher.apply_table(RouteTable(4, ROUTES, workspaces=workspaces))
     dispatcher.access.is_current = lambda now_ms: is_current
     dispatcher.access.confirmed_age_ms = lambda now_ms: age_ms
     dispatcher.access.rules = AccessRules(is_strict, revoke_ms=5000)
@@ -60,17 +60,17 @@
         ('/all/x', 'k-bea', BEA),
         ('/all/x', '', Outcome.NO_KEY),
         ('/all/x', 'k-ad', Outcome.NO_KEY),
-        ('/open/x', '', NO_TENANT),
-        ('/open/x', 'unknown', NO_TENANT),
+        ('/open/x', '', NO_WORKSPACE),
+        ('/open/x', 'unknown', NO_WORKSPACE),
         ('/open/x', 'k-bea', BEA),
         ('/ada/x', 'k-ada', ADA),
         ('/ada/x', 'k-bea', Outcome.NOT_ALLOWED),
         ('/none/x', 'k-bea', Outcome.NO_ROUTE),
     ],
 )
-def test_request_is_served_as_its_tenants_or_denied(path, key, expected):
+def test_request_is_served_as_its_workspaces_or_denied(path, key, expected):
     opened = ask(dispatcher_with(KEYS), key, path)
-    found = opened.tenant if isinstance(opened, Exchange) else opened.outcome
+    found = opened.workspace if isinstance(opened, Exchange) else opened.outcome
     assert found == expected
 
 
@@ -94,14 +94,14 @@
 def test_withdrawn_key_is_denied_from_the_next_version_on():
     dispatcher = dispatcher_with(KEYS)
     assert isinstance(ask(dispatcher, 'k-ada'), Exchange)
-    left = TenantTable({key_digest('k-bea'): BEA})
-    dispatcher.apply_table(RouteTable(5, ROUTES, tenants=left))
+    left = WorkspaceTable({key_digest('k-bea'): BEA})
+    dispatcher.apply_table(RouteTable(5, ROUTES, workspaces=left))
     assert ask(dispatcher, 'k-ada').outcome is Outcome.NO_KEY
     assert isinstance(ask(dispatcher, 'k-bea'), Exchange)
 
 
-def test_without_tenants_no_key_is_needed():
-    assert ask(dispatcher_with({})).tenant is NO_TENANT
+def test_without_workspaces_no_key_is_needed():
+    assert ask(dispatcher_with({})).workspace is NO_WORKSPACE
 
 
 def test_key_is_not_part_of_the_representation_of_a_request():
--- a/cowsliploom/forwarding/tests/test_where.py
+++ b/cowsliploom/forwarding/tests/test_where.py
@@ -68,7 +68,7 @@
 
 
 @pytest.mark.parametrize(
-    ('path', 'key', 'outcome', 'tenant'),
+    ('path', 'key', 'outcome', 'workspace'),
     [
         ('/all/x', 'k-ada', '', 'ada'),
         ('/all/x', 'k-no', 'no key', ''),
@@ -76,9 +76,9 @@
         ('/none/x', '', 'no route', ''),
     ],
 )
-def test_denials_are_told_without_the_key(path, key, outcome, tenant):
+def test_denials_are_told_without_the_key(path, key, outcome, workspace):
     explanation = ask(dispatcher_with(KEYS), path, key)
-    assert (explanation.outcome, explanation.tenant) == (outcome, tenant)
+    assert (explanation.outcome, explanation.workspace) == (outcome, workspace)
     assert key not in repr(explanation) or not key
 
 
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -42,7 +42,7 @@
     request_log : RequestLog
         Records how each request ended.
     usage : UsageExchange or None
-        Counts the requests of tenants that began to run. Default none.
+        Counts the requests of workspaces that began to run. Default none.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
             http.body,
             http.arrived_ms,
             http.path_ms,
-            has_tenants=bool(self.pools.dispatcher.table.tenants),
+            has_workspaces=bool(self.pools.dispatcher.table.workspaces),
         )
         opened = self._open(request)
         if isinstance(opened, ErrorReply):
@@ -147,7 +147,7 @@
             forwarder.pools,
             exchange,
             request.request_id,
-            platform.render_call_head(request, exchange.tenant),
+            platform.render_call_head(request, exchange.workspace),
             request.body,
         )
         self._forwarder = forwarder
@@ -160,9 +160,9 @@
         """Execute commands, and meter the request once it is sent."""
         commands = tuple(commands)
         if not self._usage_window and any(map(_sends, commands)):
-            tenant = self.exchange.tenant.name
+            workspace = self.exchange.workspace.name
             now_ms = self.pools.now_ms()
-            self._usage_window = self._forwarder.usage.begin(tenant, now_ms)
+            self._usage_window = self._forwarder.usage.begin(workspace, now_ms)
         super().execute(commands)
 
     def settle_usage(self) -> None:
@@ -170,8 +170,8 @@
         if self._usage_window:
             parts = self.exchange.sub_requests
             if not any(part.may_have_run for part in parts):
-                tenant = self.exchange.tenant.name
-                self._forwarder.usage.take_back(tenant, self._usage_window)
+                workspace = self.exchange.workspace.name
+                self._forwarder.usage.take_back(workspace, self._usage_window)
 
     def handle_disconnect(self) -> None:
         """Cancel all calls after the caller has disconnected."""
--- a/cowsliploom/gateway/_request_log.py
+++ b/cowsliploom/gateway/_request_log.py
@@ -58,7 +58,7 @@
             request_id=request.request_id,
             status=status,
             route=exchange.route.name,
-            tenant=exchange.tenant.name,
+            workspace=exchange.workspace.name,
             elapsed_ms=round(elapsed_ms, 1),
             patience_ms=request.patience_ms,
             hedges=exchange.hedges,
--- a/cowsliploom/gateway/_usage_exchange.py
+++ b/cowsliploom/gateway/_usage_exchange.py
@@ -67,18 +67,18 @@
         """Return true time."""
         return self.true_time.read(time.time() * MS_PER_S, now_ms)
 
-    def begin(self, tenant: str, now_ms: float) -> int:
+    def begin(self, workspace: str, now_ms: float) -> int:
         """Count a request that is sent to a backend server; return its window."""
-        if self.rules is None or not tenant:
+        if self.rules is None or not workspace:
             return 0
         window = self.rules.window_at(self.true_ms(now_ms))
-        self.local.add(tenant, window)
+        self.local.add(workspace, window)
         return window
 
-    def take_back(self, tenant: str, window: int) -> None:
+    def take_back(self, workspace: str, window: int) -> None:
         """Take back a request that no server began to run."""
         if window > self.reported:
-            self.local.add(tenant, window, change=-1)
+            self.local.add(workspace, window, change=-1)
 
     def partner(self) -> str | None:
         """Return the holder's address if it is due to receive counts."""
--- a/cowsliploom/gateway/_usage_task.py
+++ b/cowsliploom/gateway/_usage_task.py
@@ -97,7 +97,7 @@
         """Run until cancelled."""
         while True:
             await asyncio.sleep(TICK_MS / MS_PER_S)
-            if self._store_view.dispatcher.table.tenants:
+            if self._store_view.dispatcher.table.workspaces:
                 await self._tick()
 
     def stop(self) -> None:
@@ -246,7 +246,7 @@
             window=command.window,
             token=command.token,
             requests=sum(command.counts.values()),
-            tenants=len(command.counts),
+            workspaces=len(command.counts),
             elapsed_ms=round((time.monotonic() - began_s) * MS_PER_S),
             reason=problem,
         )
--- a/cowsliploom/gateway/_where.py
+++ b/cowsliploom/gateway/_where.py
@@ -42,7 +42,7 @@
         [('Host', question.host), *question.headers],
         b'',
         now_ms,
-        has_tenants=bool(dispatcher.table.tenants),
+        has_workspaces=bool(dispatcher.table.workspaces),
     )
     explanation = explain_request(dispatcher, request)
     headers = [('Content-Type', 'application/json')]
--- a/cowsliploom/gateway/tests/test_where.py
+++ b/cowsliploom/gateway/tests/test_where.py
@@ -32,14 +32,14 @@
 def test_servers_of_the_route_are_listed():
     text = render_where(ask(make_dispatcher(), 'http://h/safe/x?a=1'))
     first, head, *rows = text.splitlines()
-    assert first == 'version 3, route safe, tenant none'
+    assert first == 'version 3, route safe, workspace none'
     assert head.startswith('SERVICE')
     assert [row.split()[:2] for row in rows] == [['one', '1.00']] * 2
 
 
 @pytest.mark.parametrize(
     ('header', 'expected'),
-    [('Key: k-ada', 'tenant ada'), ('Key: k-other', 'no key')],
+    [('Key: k-ada', 'workspace ada'), ('Key: k-other', 'no key')],
 )
 def test_key_is_used_and_not_shown(header, expected):
     text = render_where(ask(dispatcher_with(KEYS), 'http://h/all/x', header))
--- a/cowsliploom/platform/_documents.py
+++ b/cowsliploom/platform/_documents.py
@@ -14,9 +14,9 @@
     ServerRecord,
     ServerState,
     ServiceRules,
-    Tenant,
-    TenantTable,
     WeightedService,
+    Workspace,
+    WorkspaceTable,
     key_digest,
 )
 from cowsliploom.protocol import (
@@ -151,7 +151,7 @@
         tuple(_route(route) for route in wire.routes),
         {service.name: _service(service) for service in wire.services},
         limits,
-        _tenant_table(wire.tenants),
+        _workspace_table(wire.tenants),
     )
 
 
@@ -265,33 +265,33 @@
         services=() if fan_out else weighted,
         fan_out=fan_out,
         is_public=wire.public,
-        tenants=frozenset(wire.tenants),
+        workspaces=frozenset(wire.tenants),
     )
 
 
-def _tenant_table(wire: list[_WireTenant]) -> TenantTable:
-    """Return the tenants by their keys.
+def _workspace_table(wire: list[_WireTenant]) -> WorkspaceTable:
+    """Return the workspaces by their keys.
 
     Raises
     ------
     DocumentError
-        If two tenants hold one key, or a name can't be sent in a header.
+        If two workspaces hold one key, or a name can't be sent in a header.
     """
-    by_digest: dict[bytes, Tenant] = {}
+    by_digest: dict[bytes, Workspace] = {}
     for each in wire:
-        tenant = _tenant(each)
+        workspace = _workspace(each)
         for key in each.api_keys:
-            holder = by_digest.setdefault(_digest(key), tenant)
-            if holder.name != tenant.name:
-                reason = f'{holder.name} and {tenant.name} hold the same key'
+            holder = by_digest.setdefault(_digest(key), workspace)
+            if holder.name != workspace.name:
+                reason = f'{holder.name} and {workspace.name} hold the same key'
                 raise DocumentError(CONFIGURATION_KEY, reason)
-    return TenantTable(by_digest)
+    return WorkspaceTable(by_digest)
 
 
-def _tenant(wire: _WireTenant) -> Tenant:
+def _workspace(wire: _WireTenant) -> Workspace:
     if not (wire.name.isascii() and wire.name.isprintable() and wire.name):
-        raise DocumentError(CONFIGURATION_KEY, f'tenant name {wire.name!r}')
-    return Tenant(wire.name, wire.priority)
+        raise DocumentError(CONFIGURATION_KEY, f'workspace name {wire.name!r}')
+    return Workspace(wire.name, wire.priority)
 
 
 def _digest(key: str) -> bytes:
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -6,7 +6,7 @@
 
 from cowsliploom.dataplane import AnswerOrigin, HeaderList, HttpAnswer, parse_count
 from cowsliploom.forwarding import (
-    NO_TENANT,
+    NO_WORKSPACE,
     BackendAnswer,
     CallerRequest,
     ErrorReply,
@@ -14,7 +14,7 @@
     LoadReport,
     MergedAnswer,
     Outcome,
-    Tenant,
+    Workspace,
 )
 
 REQUEST_ID = 'request-id'
@@ -24,7 +24,8 @@
 LOAD = 'server-load'  # running, waiting, slots, and speed of the machine
 LOAD_FIGURES = (3, 4)
 NOT_RUN = 'not-executed'
-KEY = 'key'  # identifies a caller's tenant
+KEY = 'key'  # identifies a caller's workspace
+WORKSPACE = 'tenant'
 MS_PER_S = 1000
 WRONG_SERVER = 421
 ENCODED = 'content-encoding'
@@ -47,7 +48,7 @@
     )
 )
 REPLACED = HOP_BY_HOP | {TIMEOUT, TARGET, 'host'}
-REPLACED_WITH_TENANTS = REPLACED | {KEY, 'tenant'}
+REPLACED_WITH_WORKSPACES = REPLACED | {KEY, WORKSPACE}
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
     body: bytes,
     arrived_ms: float,
     path_ms: float = 0,
-    has_tenants: bool = False,
+    has_workspaces: bool = False,
 ) -> CallerRequest:
     """Decode a caller's request.
 
@@ -82,7 +83,7 @@
         Time at which the last byte was read.
     path_ms : float
         Network time to and from the caller, part of its timeout. Default 0.
-    has_tenants : bool
+    has_workspaces : bool
         Whether callers identify themselves by keys, which are not forwarded. Default
         False.
     """
@@ -93,13 +94,13 @@
         by_name.get('host', ''),
         target,
         _end_to_end_headers(
-            headers, REPLACED_WITH_TENANTS if has_tenants else REPLACED
+            headers, REPLACED_WITH_WORKSPACES if has_workspaces else REPLACED
         ),
         body,
         arrived_ms,
         _parse_timeout(by_name.get(TIMEOUT, '')),
         path_ms,
-        _read_key(headers) if has_tenants else '',
+        _read_key(headers) if has_workspaces else '',
     )
 
 
@@ -115,12 +116,14 @@
     return keys[0] if len(keys) == 1 else ''
 
 
-def render_call_head(request: CallerRequest, tenant: Tenant = NO_TENANT) -> str:
+def render_call_head(
+    request: CallerRequest, workspace: Workspace = NO_WORKSPACE
+) -> str:
     """Return the head that all calls of a request share."""
     lines = [f'{request.method} {request.target} HTTP/1.1', f'Host: {request.host}']
     lines.extend(f'{name}: {header}' for name, header in request.headers)
-    if tenant.name:
-        lines.append(f'Tenant: {tenant.name}')
+    if workspace.name:
+        lines.append(f'Tenant: {workspace.name}')
     if request.body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         lines.append(f'Content-Length: {len(request.body)}')
     return '\r\n'.join(lines)
--- a/cowsliploom/platform/_usage_reports.py
+++ b/cowsliploom/platform/_usage_reports.py
@@ -24,7 +24,7 @@
     window : int
         Number of the window.
     counts : mapping of str to int
-        Requests by tenant.
+        Requests by workspace.
     """
 
     holder: str
--- a/cowsliploom/usage/__init__.py
+++ b/cowsliploom/usage/__init__.py
@@ -1,4 +1,4 @@
-"""Metering of what tenants use, and the duty to report it once; sans-IO."""
+"""Metering of what workspaces use, and the duty to report it once; sans-IO."""
 
 from cowsliploom.usage._counts import LocalUsage as LocalUsage
 from cowsliploom.usage._counts import UsageEntry as UsageEntry
--- a/cowsliploom/usage/_counts.py
+++ b/cowsliploom/usage/_counts.py
@@ -1,4 +1,4 @@
-"""Counts of the requests that began to run, by tenant, window and member."""
+"""Counts of the requests that began to run, by workspace, window and member."""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -20,7 +20,7 @@
     sequence : int
         Orders the entries of one source and window; the latest holds all counts.
     counts : mapping of str to int
-        Requests by tenant.
+        Requests by workspace.
     """
 
     source: str
@@ -56,10 +56,10 @@
         self._received: dict[int, int] = {}
         self._holder = ''
 
-    def add(self, tenant: str, window: int, change: int = 1) -> None:
+    def add(self, workspace: str, window: int, change: int = 1) -> None:
         """Count a request that began to run, or take one back that did not."""
         counts = self._counts.setdefault(window, Counter())
-        counts[tenant] += change
+        counts[workspace] += change
         self._sequences[window] += 1
         if len(self._counts) > WINDOWS_MAX:
             self._forget(min(self._counts))
@@ -117,11 +117,11 @@
         return late
 
     def totals(self, window: int) -> dict[str, int]:
-        """Return the requests of each tenant in a window."""
+        """Return the requests of each workspace in a window."""
         totals: Counter[str] = Counter()
         for entry in self._entries.get(window, {}).values():
             totals.update(entry.counts)
-        return {tenant: count for tenant, count in totals.items() if count > 0}
+        return {workspace: count for workspace, count in totals.items() if count > 0}
 
     def close_until(self, window: int) -> None:
         """Close the windows up to one; their counts are fixed."""
