Connect ahead to servers as they register, once for a version of the routes

Cause: at the first start the task ran when few servers were registered (1 to 3 of some 16 a VM, by the log of a play), and not again before the next version. Change: it runs again when the set of servers changes, for those it has not handled for this version.

--- a/cowsliploom/gateway/_connect_task.py
+++ b/cowsliploom/gateway/_connect_task.py
@@ -17,7 +17,7 @@
 class ConnectTask:
     """Connect to the servers that this VM calls as a relay.
 
-    Once after the start, and again for the shards of a new version of the routes.
+    Each once for a version of the routes, as it is registered.
 
     Parameters
     ----------
@@ -42,27 +42,36 @@
         self._peers = peers
         self._pools = pools
         self._log = log
-        self._version = 0
+        self._seen = (0, 0)
+        self._handled: set[str] = set()
 
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
             await asyncio.sleep(CHECK_MS / MS_PER_S)
-            table = self._dispatcher.table
-            is_new = table.version != self._version
-            if is_new and self._peers.others() and len(self._dispatcher.fleet):
+            if self._current() != self._seen and self._peers.others():
                 await asyncio.sleep(MEMBERS_WAIT_MS / MS_PER_S)
-                self._version = self._dispatcher.table.version
                 await self._connect()
 
+    def _current(self) -> tuple[int, int]:
+        """Return the versions of the routes and of the set of servers."""
+        return self._dispatcher.table.version, self._dispatcher.fleet.layout_version
+
     async def _connect(self) -> None:
-        servers = servers_ahead(
+        """Connect to the servers that are new since the last version of the routes."""
+        current = self._current()
+        if current[0] != self._seen[0]:
+            self._handled.clear()
+        self._seen = current
+        found = servers_ahead(
             self._dispatcher.table,
             self._dispatcher.fleet,
             self._peers.known.own,
             self._peers.others(),
             self._peers.now_ms(),
         )
+        servers = [server for server in found if server.name not in self._handled]
+        self._handled.update(server.name for server in servers)
         opened = 0
         for start in range(0, len(servers), BATCH):
             opened += sum(map(self._open, servers[start : start + BATCH]))
