Look for the duty once a second while another VM holds it

Change: a VM looks once a second while the store names a holder, and ranks the members only if it names none.

--- a/cowsliploom/gateway/_usage_task.py
+++ b/cowsliploom/gateway/_usage_task.py
@@ -35,6 +35,7 @@
 
 MS_PER_S = 1000
 TICK_MS = 200.0
+WAIT_MS = 1000.0  # between looks of a VM that has nothing to do while another reports
 CALL_TIMEOUT_MS = 800.0
 ROLE = 'usage-reports'
 RECORD_KEY = 'duties/usage'
@@ -96,10 +97,14 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
-            await asyncio.sleep(TICK_MS / MS_PER_S)
+            pause_ms = WAIT_MS if self._is_held_elsewhere() else TICK_MS
+            await asyncio.sleep(pause_ms / MS_PER_S)
             if self._store_view.dispatcher.table.workspaces:
                 await self._tick()
 
+    def _is_held_elsewhere(self) -> bool:
+        return not self._duty.is_held and self._stored_holder() is not None
+
     def stop(self) -> None:
         """Give the duty up, as the process stops; the lease runs out by itself."""
         self._is_stopping = True
@@ -135,17 +140,21 @@
 
     def _observe(self) -> DutyTick:
         now_ms = self._peers.now_ms()
-        first = self._peers.known.rank_live(ROLE, now_ms, 1)
-        is_candidate = first == (self._peers.known.own.name,)
+        stored = self._stored_duty()
         return DutyTick(
             now_ms,
             self._usage.true_ms(now_ms),
-            is_candidate and not self._is_stopping,
-            self._stored_duty(),
+            not stored.is_held and self._is_candidate(now_ms),
+            stored,
             self._usage.reported,
             self._usage.ledger.totals(self._duty.next_window),
         )
 
+    def _is_candidate(self, now_ms: float) -> bool:
+        """Return whether this VM is to hold the duty if nobody does."""
+        first = self._peers.known.rank_live(ROLE, now_ms, 1)
+        return first == (self._peers.known.own.name,) and not self._is_stopping
+
     def _stored_duty(self) -> StoredDuty:
         item = self._store_view.mirror.get(RECORD_KEY)
         is_held = self._store_view.mirror.get(HOLDER_KEY) is not None
