--- a/cowsliploom/dataplane/_connection_pool.py
+++ b/cowsliploom/dataplane/_connection_pool.py
@@ -74,17 +74,6 @@
         self._opening.add(opening)
         opening.add_done_callback(self._opening.discard)
 
-    def open_ahead(self) -> bool:
-        """Open a connection for a later call, unless there is one; return whether."""
-        if self._all or self._opening or self._is_closed:
-            return False
-        ended = HttpCall(b'', _ignore_result)
-        ended.cancel()
-        opening = self._loop.create_task(self._open(ended))
-        self._opening.add(opening)
-        opening.add_done_callback(self._opening.discard)
-        return True
-
     async def ask(self, content: bytes, timeout_ms: float) -> CallResult | None:
         """Send a complete request and return its result, or None after the timeout."""
         done: asyncio.Future[CallResult] = self._loop.create_future()
@@ -163,10 +152,6 @@
         connection.send(call)
 
 
-def _ignore_result(result: CallResult) -> None:
-    """Ignore the result of a call that waits for none."""
-
-
 def _set_result(done: 'asyncio.Future[CallResult]', result: CallResult) -> None:
     if not done.done():
         done.set_result(result)
--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -9,7 +9,6 @@
 from cowsliploom.forwarding._budgets import ServiceBudgets as ServiceBudgets
 from cowsliploom.forwarding._call_history import CallHistory as CallHistory
 from cowsliploom.forwarding._call_history import CompletedCall as CompletedCall
-from cowsliploom.forwarding._connect_ahead import servers_ahead as servers_ahead
 from cowsliploom.forwarding._dispatcher import RequestDispatcher as RequestDispatcher
 from cowsliploom.forwarding._exchange import Exchange as Exchange
 from cowsliploom.forwarding._fleet import Fleet as Fleet
--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -72,11 +72,6 @@
         pool = self._pools.get(server, server.record.address, self._watch_heads)
         pool.send(call)
 
-    def open_ahead(self, server: Server) -> bool:
-        """Connect to a server before a call needs it; return whether it was needed."""
-        address = server.record.address
-        return self._pools.get(server, address, self._watch_heads).open_ahead()
-
     def record_leaving(self, names: Iterable[str]) -> None:
         """Record servers that leave, as another entry VM has heard from them."""
         fleet = self.dispatcher.fleet
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -104,7 +104,6 @@
                 self._store_view,
                 self._peers,
                 self._store,
-                self._pools,
                 self._usage,
                 self.log,
                 self.metrics,
--- a/cowsliploom/gateway/_fleet_tasks.py
+++ b/cowsliploom/gateway/_fleet_tasks.py
@@ -1,10 +1,8 @@
-"""Tasks of one entry VM that serve the whole fleet: moves, usage and connections."""
+"""Tasks of one entry VM that serve the whole fleet: version moves and usage."""
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
-from cowsliploom.gateway._calls import ServerPools
-from cowsliploom.gateway._connect_task import ConnectTask
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._metrics import Metrics
 from cowsliploom.gateway._moves_task import MovesTask
@@ -25,7 +23,6 @@
     store_view: StoreView
     peers: Peers
     store: PlatformStore
-    pools: ServerPools
     usage: UsageExchange
     log: LineLog
     metrics: Metrics
@@ -43,15 +40,12 @@
     def __init__(self, parts: DaemonParts) -> None:
         store_view, peers = parts.store_view, parts.peers
         self._moves = MovesTask(store_view, peers, parts.store, parts.log)
-        self._connect = ConnectTask(
-            store_view.dispatcher, peers, parts.pools, parts.log
-        )
         self._usage = _usage_task(parts)
 
     def runs(self) -> tuple[Task, ...]:
         """Return the tasks as coroutine functions."""
         usage = () if self._usage is None else (self._usage.run,)
-        return (self._moves.run, self._connect.run, *usage)
+        return (self._moves.run, *usage)
 
     def stop(self) -> None:
         """Give up the duties that another VM can take over."""
