--- a/cowsliploom/dataplane/_room.py
+++ b/cowsliploom/dataplane/_room.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-SHED_TO_SHARE = 0.9  # of a limit, so that each connection to come frees none of its own
+SHED_TO_SHARE = 0.9  # of a limit; leaves room for the connections that come next
 MEMORY_SHARE = 0.25  # of a process's memory; the rest is for the program and its calls
 FILES_RESERVED = 200  # descriptors for files, of those that a process may open
 CALLERS_SHARE = 0.5  # of the other descriptors; the rest is for servers and peers
--- a/cowsliploom/forwarding/_leaving.py
+++ b/cowsliploom/forwarding/_leaving.py
@@ -10,8 +10,8 @@
 # What traffic between data centres costs, as waiting that callers would accept for it.
 PRICE_TARGET_SHARE = 0.1
 STAY_AWAY_SHARE = 0.5  # of the price, for a service that leaves already
-TOKENS_MAX = 1.0
-TRAVEL_LIFE_MS = 30_000.0
+TOKENS_MAX = 1.0  # calls that a VM may save up
+TRAVEL_LIFE_MS = 30_000.0  # after which a longer time replaces the shortest one
 NOTICE_INTERVAL_MS = 1000.0  # between notices about one service
 
 
@@ -47,7 +47,7 @@
     >>> travel.add('here', 1.0, now_ms=0)
     >>> travel.add('there', 4.0, now_ms=0)
     >>> travel.add('there', 3.0, now_ms=10)
-    >>> travel.extra_ms('there', 'here', now_ms=20)
+    >>> travel.extra_ms('there', 'here')
     2.0
     """
 
@@ -60,7 +60,7 @@
         if elapsed_ms <= known_ms or now_ms - added_ms > TRAVEL_LIFE_MS:
             self._shortest[data_centre] = (elapsed_ms, now_ms)
 
-    def extra_ms(self, data_centre: str, own: str, now_ms: float) -> float:
+    def extra_ms(self, data_centre: str, own: str) -> float:
         """Return how much longer an exchange takes than one at home; 0 if unknown."""
         if data_centre not in self._shortest or own not in self._shortest:
             return 0
@@ -103,10 +103,10 @@
         """Return whether a server is in the data centre of this VM."""
         return server.record.data_centre == self._data_centre
 
-    def away_ms(self, server: Server, expected_ms: float, now_ms: float) -> float:
+    def away_ms(self, server: Server, expected_ms: float) -> float:
         """Return the expected time of a call at a server elsewhere, with the way."""
         place = server.record.data_centre
-        return expected_ms + self.travel.extra_ms(place, self._data_centre, now_ms)
+        return expected_ms + self.travel.extra_ms(place, self._data_centre)
 
     def leaves(
         self,
--- a/cowsliploom/forwarding/_server_choice.py
+++ b/cowsliploom/forwarding/_server_choice.py
@@ -107,7 +107,7 @@
         pays = self.leaving.leaves(
             best_home.record.service,
             best_home.expected_ms(now_ms, median_ms),
-            self.leaving.away_ms(best_away, away_ms, now_ms),
+            self.leaving.away_ms(best_away, away_ms),
             leaving_price_ms(limits.target_ms, median_ms),
             now_ms,
         )
