--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -3,9 +3,11 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 import pytest
 
+from tests.processes.fleet import wait_until
 from tests.processes.shape import DATA_CENTRES, Shape
 from tests.processes.world import World
 
@@ -24,9 +26,15 @@
         )
         running.list_vms()
         running.apply_shape()
+        wait_until(partial(books, running), 'bookings are answered')
         yield running
 
 
+def books(world):
+    """Return whether the entry VM that is stopped answers bookings."""
+    return world.book(world.entries[1], 'warm', 'key-0').status == 200
+
+
 def test_bookings_late_in_a_planned_stop_are_answered_or_refused(world):
     """Guard against accepting bookings until exit and cutting them unanswered."""
     for name, address in world.addresses.items():
