--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 	$(BIN)/mypy
 
 test: $(STAMP) lint
-	$(BIN)/python -m tests.known_red -n 4 --dist loadfile
+	$(BIN)/python -m tests.known_red -n 4 --dist loadfile -m "not crowds"
+	$(BIN)/python -m tests.known_red -m crowds
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 from pathlib import Path
 
@@ -14,10 +13,10 @@
 
 from tests.processes.addresses import HOST_PREFIX
 from tests.processes.gateway_world import SHARDS, ask, configuration, run_script
+from tests.processes.resources import DescriptorSampler, open_files, peak_mb
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.crowds]
 
-MB = 1_000_000
 MEMORY_MB = 64  # of the settings; an idle gateway takes half of it
 FDS_MAX = 300  # of the settings
 BODY_BYTES = 250_000  # below the limit of the configuration
@@ -38,19 +37,6 @@
 SMALL_CHUNKS = b'2\r\nxx\r\n' * (BODY_BYTES // 2)
 
 
-def peak_mb(process):
-    """Return the highest resident memory of a process so far."""
-    for line in Path(f'/proc/{process.pid}/status').read_text().splitlines():
-        if line.startswith('VmHWM:'):
-            return int(line.split()[1]) * 1024 / MB
-    raise AssertionError('the process has ended')
-
-
-def open_files(process):
-    """Return the number of open descriptors of a process."""
-    return len(os.listdir(f'/proc/{process.pid}/fd'))
-
-
 class Crowd:
     """Clients that send, never read, and stay open.
 
@@ -170,11 +156,13 @@
             2, lines=(f'limits.memoryMb={MEMORY_MB}', f'limits.maxFds={FDS_MAX}')
         )
         await world.ready(2)
-        with Crowd((f'{HOST_PREFIX}.2', 18100)) as crowd:
+        address = (f'{HOST_PREFIX}.2', 18100)
+        with Crowd(address) as crowd, DescriptorSampler(process) as sampler:
             await gather(crowd)
             await settled(process, world.backends['one'])
             assert process.returncode is None
             assert open_files(process) <= FDS_MAX
+            assert sampler.peak <= FDS_MAX
             assert peak_mb(process) <= MEMORY_MB
             assert await ordinary_answer(2) == 200
         assert process.returncode is None
