Admit what others make the process hold before its memory is taken

Causes: the account knew only bytes of callers' requests and answers, looked at them after they had been taken, and forgot connections that were still open. Objects of small requests, headers, exchanges and shares, answers being read, parts, frames, and all other listeners were in no account. A body was copied for each shard, and a merge made an object of each record of all parts.

Change: Room (sans-IO) accounts for all connections and work of the process; Admission pauses and resumes clients and calls. Connections are accepted, bytes read (into one buffer of 16 KB), requests and shares begun, and answers read on only if there is room; large bodies and answers reserve all they need. Ended connections count until closed and are reset after half a second; readers have a pace. Each listener has a share of the descriptors, calls the rest; a call without one fails before it is sent, which says nothing about its server. Calls of a request share its body; parts of queries are cut to the greatest records; a merge works in steps.

--- a/cowsliploom/dataplane/__init__.py
+++ b/cowsliploom/dataplane/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on the event loop: listeners for callers, connection pools to servers."""
 
+from cowsliploom.dataplane._admission import Admission as Admission
 from cowsliploom.dataplane._bounds import AnswerBounds as AnswerBounds
 from cowsliploom.dataplane._connection_pool import ConnectionPool as ConnectionPool
 from cowsliploom.dataplane._frames import FrameConnection as FrameConnection
@@ -17,8 +18,11 @@
 from cowsliploom.dataplane._numbers import parse_count as parse_count
 from cowsliploom.dataplane._pools import ConnectionPools as ConnectionPools
 from cowsliploom.dataplane._room import RoomLimits as RoomLimits
+from cowsliploom.dataplane._room import Use as Use
 from cowsliploom.dataplane._server import HttpListener as HttpListener
 from cowsliploom.dataplane._sockets import HeaderList as HeaderList
 from cowsliploom.dataplane._sockets import (
     set_dead_peer_timeout as set_dead_peer_timeout,
 )
+from cowsliploom.dataplane._weights import exchange_weight as exchange_weight
+from cowsliploom.dataplane._weights import headers_weight as headers_weight
--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from cowsliploom.dataplane._admission import Admission
 from cowsliploom.dataplane._bounds import AnswerBounds, AnswerMeter
 from cowsliploom.dataplane._http_calls import (
     AnswerOrigin,
@@ -16,18 +17,22 @@
     HttpFailure,
 )
 from cowsliploom.dataplane._numbers import parse_count
+from cowsliploom.dataplane._read_room import ReadRoom
+from cowsliploom.dataplane._room import Use
 from cowsliploom.dataplane._sockets import (
     HeaderList,
     reset,
     set_dead_peer_timeout,
 )
+from cowsliploom.dataplane._weights import CONNECTION_BYTES
 from cowsliploom.forwarding import CallStep
 
 MS_PER_S = 1000
 IDLE_GRACE_MS = 700  # connections are discarded this long before the server closes
 IDLE_DEFAULT_MS = 4000  # for servers that send no timeout in Keep-Alive
+HEADERS_MAX = 512  # of one answer
 STALE_ANSWERS_MAX = 3  # late answers to earlier requests, per connection
-PARSE_CHUNK_BYTES = 16_384  # parsed between two checks of the bounds
+STEP_BYTES = 65_536  # reserved at a time for an answer of unknown length
 STATUSES = range(100, 600)  # that HTTP has; others are no answers
 FINAL_STATUS_MIN = 200
 BODILESS_STATUSES = frozenset((204, 304))  # have no body, whatever Content-Length
@@ -46,6 +51,8 @@
     """Pool that a connection is returned to."""
 
     address: str
+    admission: Admission
+    has_priority: bool
     bounds: AnswerBounds
     counts: Counter[str]
     dead_peer_timeout_ms: int
@@ -60,9 +67,11 @@
         ...
 
 
-class CallConnection(asyncio.Protocol):
+class CallConnection(asyncio.BufferedProtocol):
     """Connection to a server that carries one call at a time.
 
+    Before it reads a long answer, it waits until the process has room for all of it.
+
     Parameters
     ----------
     pool : ConnectionOwner
@@ -71,6 +80,11 @@
 
     def __init__(self, pool: ConnectionOwner) -> None:
         self.pool = pool
+        self._admission = pool.admission
+        self._room = ReadRoom(
+            self, pool.admission, is_work=True, has_priority=pool.has_priority
+        )
+        self.was_made = False
         self.idle_since_ms: float = 0
         self.idle_max_ms: float = IDLE_DEFAULT_MS
         self._transport: asyncio.Transport | None = None
@@ -92,25 +106,27 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options of the new connection."""
+        self.was_made = True
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info('socket')
         if sock is not None:
             set_dead_peer_timeout(sock, self.pool.dead_peer_timeout_ms)
+        self.note_held()
+
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: WPS615 (of asyncio)
+        """Return the buffer that all connections share."""
+        return self._admission.read_buffer
 
-    def data_received(self, chunk: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; without an open call they close the connection."""
         if self._call is None:
             self.abort()
             return
-        view = memoryview(chunk)
-        for start in range(0, len(chunk), PARSE_CHUNK_BYTES):
-            if self._completed is not None:
-                self._has_trailing_bytes = True
-                break
-            self._parse(view[start : start + PARSE_CHUNK_BYTES])
-            if self._call is None:
-                break
+        self._parse(self._admission.read_buffer[:nbytes])
         self._deliver()
+        if self._call is not None and self._body:
+            self.note_held()
+            self._room.pause_unless_admitted()
 
     def eof_received(self) -> bool:
         """Complete an answer without framing; a truncated head is no answer."""
@@ -123,6 +139,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the open call."""
         self._transport = None
+        self._room.close()
+        self._admission.charge(self, 0)
+        self._admission.close(Use.CALLS)
         self.pool.discard(self)
         if self._call is not None:
             self._fail(CallStep.RECEIVE, repr(exc) if exc else 'connection closed')
@@ -143,8 +162,13 @@
         self._body = bytearray()
 
     def on_header(self, name: bytes, header: bytes) -> None:
-        """Store a header and note how the body is framed."""
-        if self._completed is not None:
+        """Store a header and note how the body is framed.
+
+        Those above the limit are not stored; they fail the call once the head ends.
+        """
+        if self._completed is not None or self._is_head_complete:
+            return  # of another answer, or a trailer
+        if len(self._headers) > HEADERS_MAX:
             return
         key = name.decode('latin-1')
         text = header.decode('latin-1')
@@ -206,6 +230,8 @@
             self._fail(CallStep.SEND, 'connection closed', may_have_run=False)
         else:
             self._transport.write(call.content)
+            if call.body:
+                self._transport.write(call.body)
 
     def abort(self) -> None:
         """Reset the connection and discard the call."""
@@ -220,6 +246,40 @@
         if self._transport is not None:
             self._transport.close()
 
+    # Waiting for room.
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Memory of the answer that is being read."""
+        return len(self._body)
+
+    @property
+    def expected_bytes(self) -> int:
+        """Memory that the answer takes, or the next step of an unknown length."""
+        return self._length_bytes or len(self._body) + STEP_BYTES
+
+    def pause_reading(self) -> None:
+        """Stop reading."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def read_on(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def note_held(self) -> None:
+        """Update what the connection holds in the account."""
+        reading = max(len(self._body), self._room.reserved_bytes)
+        if self._transport is not None:
+            self._admission.charge(self, CONNECTION_BYTES + reading)
+
+    def _discard_body(self) -> None:
+        if self._body:
+            self._body = bytearray()
+            self._room.release()
+            self.note_held()
+
     def _release(self) -> None:
         """Free the buffers now; a reference cycle with the parser delays collection."""
         self._headers = []
@@ -239,6 +299,8 @@
             status = self._parser.get_status_code()
             self._fail(CallStep.DECODE, f'status {status} from {self.pool.address}')
         exceeded = self._meter.exceeded
+        if self._is_head_complete and len(self._headers) > HEADERS_MAX:
+            exceeded = f'over {HEADERS_MAX} headers'
         if exceeded and self._completed is None:
             self._fail(CallStep.DECODE, f'{exceeded} from {self.pool.address}')
 
@@ -256,6 +318,7 @@
             self.pool.counts['answers_unnamed'] += not is_named
             self._completed = _CompletedCall(call, answer, keep and is_named)
             return
+        self._discard_body()
         self._meter.restart()
         self._stale_answers += 1
         self.pool.counts['answers_to_other_calls'] += 1
@@ -269,6 +332,7 @@
             return
         self._completed = None
         self._call = None
+        self._discard_body()
         if completed.keep and not (self._stale_answers or self._has_trailing_bytes):
             self._return_to_pool()
         else:
--- a/cowsliploom/dataplane/_connection_pool.py
+++ b/cowsliploom/dataplane/_connection_pool.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from functools import partial
 
+from cowsliploom.dataplane._admission import Admission
 from cowsliploom.dataplane._bounds import AnswerBounds
 from cowsliploom.dataplane._call_connection import MS_PER_S, CallConnection
 from cowsliploom.dataplane._http_calls import (
@@ -13,6 +14,7 @@
     HttpCall,
     HttpFailure,
 )
+from cowsliploom.dataplane._room import Use
 from cowsliploom.forwarding import CallStep
 from cowsliploom.protocol import split_address
 
@@ -37,6 +39,10 @@
     counts : Counter or None
         Counts answers that are unnamed or belong to other calls, and connections that
         were passed over; may be shared by several pools. Default a new one.
+    admission : Admission or None
+        Account of the process. Default one without limits.
+    has_priority : bool
+        Whether answers are read also when room is short. Default False.
     """
 
     def __init__(
@@ -47,8 +53,12 @@
         bounds: AnswerBounds = AnswerBounds(),  # noqa: WPS404 (frozen)
         head_watch: HeadWatch = NO_HEAD_WATCH,
         counts: Counter[str] | None = None,
+        admission: Admission | None = None,
+        has_priority: bool = False,
     ) -> None:
         self.address = address
+        self.admission = Admission() if admission is None else admission
+        self.has_priority = has_priority
         self.counts: Counter[str] = Counter() if counts is None else counts
         self.connect_timeout_ms = connect_timeout_ms
         self.dead_peer_timeout_ms = dead_peer_timeout_ms
@@ -135,20 +145,27 @@
         return found
 
     async def _open(self, call: HttpCall) -> None:
+        """Open a connection for a call, if a descriptor is left."""
+        if not await self.admission.open_for_call():
+            reason = 'no descriptor is left for calls'
+            call.end(HttpFailure(CallStep.LOCAL, self.address, reason, False))
+            return
+        connection = CallConnection(self)
         try:
             host, port = split_address(self.address)
             async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
-                _, connection = await self._loop.create_connection(
-                    lambda: CallConnection(self), host=host, port=port
+                await self._loop.create_connection(
+                    lambda: connection, host=host, port=port
                 )
         except OSError as error:
+            if not connection.was_made:
+                self.admission.close(Use.CALLS)
             call.end(HttpFailure(CallStep.CONNECT, self.address, repr(error), False))
             return
+        self._all.add(connection)
         if call.is_ended:
-            self._all.add(connection)
             self.release(connection)
             return
-        self._all.add(connection)
         connection.send(call)
 
 
--- a/cowsliploom/dataplane/_http_calls.py
+++ b/cowsliploom/dataplane/_http_calls.py
@@ -96,7 +96,7 @@
     Parameters
     ----------
     content : bytes
-        Complete request as it is sent.
+        Request as it is sent, with its body or without.
     on_result : callable
         Called once with the answer or the failure; never after a cancellation.
     origin_of : callable
@@ -105,6 +105,8 @@
     used_connections : set of CallConnection or None
         Connections that carried earlier calls with the same request id, shared with
         those calls; this call uses none of them. Default none.
+    body : bytes
+        Sent after the content. Calls of the same request share it. Default empty.
     """
 
     def __init__(
@@ -113,8 +115,10 @@
         on_result: Callable[[CallResult], None],
         origin_of: Callable[[HttpAnswer], AnswerOrigin] = _assume_this_call,
         used_connections: 'set[Abortable] | None' = None,
+        body: bytes = b'',
     ) -> None:
         self.content = content
+        self.body = body
         self.on_result = on_result
         self.origin_of = origin_of
         self.connection: Abortable | None = None
--- a/cowsliploom/dataplane/_pools.py
+++ b/cowsliploom/dataplane/_pools.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
+from cowsliploom.dataplane._admission import Admission
 from cowsliploom.dataplane._bounds import AnswerBounds
 from cowsliploom.dataplane._connection_pool import ConnectionPool
 from cowsliploom.dataplane._http_calls import NO_HEAD_WATCH, HeadWatch
@@ -18,14 +19,23 @@
     ----------
     bounds : AnswerBounds
         Upper bounds of one answer in each pool.
+    admission : Admission or None
+        Account of the process. Default one without limits.
+    has_priority : bool
+        Whether answers are read also when room is short. Default False.
     """
 
     def __init__(
         self,
         bounds: AnswerBounds = AnswerBounds(),  # noqa: WPS404 (frozen)
+        admission: Admission | None = None,
+        has_priority: bool = False,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._bounds = bounds
+        self._admission = Admission() if admission is None else admission
+        self._has_priority = has_priority
+        self._admission.on_shortage.append(self.drop_idle)
         self._pools: dict[Peer, ConnectionPool] = {}
 
     def get(
@@ -53,6 +63,8 @@
                 bounds=self._bounds,
                 head_watch=head_watch,
                 counts=self.counts,
+                admission=self._admission,
+                has_priority=self._has_priority,
             )
             self._pools[peer] = known
         return known
--- a/cowsliploom/dataplane/_rendering.py
+++ b/cowsliploom/dataplane/_rendering.py
@@ -21,19 +21,30 @@
 }
 
 
-def render_answer(
-    status: int, headers: HeaderList, body: bytes, keep: bool, method: str
+def render_head(
+    status: int, headers: HeaderList, length_bytes: int | None, keep: bool
 ) -> bytes:
-    """Return an answer as it is written to a caller."""
+    """Return the head of an answer as it is written to a caller.
+
+    Parameters
+    ----------
+    status : int
+        Its status.
+    headers : list of (str, str)
+        Its headers, without those on the connection.
+    length_bytes : int or None
+        Length of the body that follows; None if there is none, as to ``HEAD``.
+    keep : bool
+        Whether the connection stays open.
+    """
     lines = [f'HTTP/1.1 {status} {REASONS.get(status, "Status")}']
     lines.extend(f'{name}: {header}' for name, header in headers)
-    if method != 'HEAD':
-        lines.append(f'Content-Length: {len(body)}')
+    if length_bytes is not None:
+        lines.append(f'Content-Length: {length_bytes}')
     if not keep:
         lines.append('Connection: close')
     lines.append('\r\n')
-    head = '\r\n'.join(lines).encode('latin-1')
-    return head if method == 'HEAD' else head + body
+    return '\r\n'.join(lines).encode('latin-1')
 
 
 def head_without_offer(
--- a/cowsliploom/dataplane/_request_reader.py
+++ b/cowsliploom/dataplane/_request_reader.py
@@ -7,12 +7,15 @@
 import httptools
 
 from cowsliploom.dataplane._rendering import head_without_offer
+from cowsliploom.dataplane._numbers import parse_count
 from cowsliploom.dataplane._sockets import HeaderList
+from cowsliploom.dataplane._weights import HEADER_BYTES
 from cowsliploom.forwarding import CallerLimits
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 TUNNEL = b'CONNECT'  # the only method that can't be served without a switch
-PARSE_CHUNK_BYTES = 16_384  # parsed between two checks of the bounds
+PARSE_CHUNK_BYTES = 1024  # parsed between two checks of the bounds
+HEADERS_MAX = 256  # of one request
 UNCOUNTED_BYTES = 256  # method, version and spaces, which the header count omits
 
 
@@ -30,6 +33,11 @@
 class RequestEvents(Protocol):
     """Receives what is read of a connection."""
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether no further request may be read for now."""
+        ...
+
     def begin_request(self) -> None:
         """Handle the first byte of a request."""
         ...
@@ -73,24 +81,43 @@
         self._target = b''
         self._header_bytes = 0
         self._unreported_bytes = 0
+        self._length_bytes: int | None = None
         self._body = bytearray()
+        self._is_in_body = False
         self._is_ended = False
 
     @property
     def held_bytes(self) -> int:
         """Memory that the incomplete request takes."""
-        return self._header_bytes + len(self._body)
+        return len(self._target) + self._headers_weight() + len(self._body)
 
-    def feed(self, chunk: bytes) -> None:
-        """Parse received bytes."""
-        view = memoryview(chunk)
+    @property
+    def expected_bytes(self) -> int:
+        """Memory that the incomplete request takes at most once it is complete."""
+        limits = self._limits()
+        if not self._is_in_body:
+            return limits.header_bytes_max + HEADER_BYTES * HEADERS_MAX
+        body_bytes = limits.body_bytes_max
+        if self._length_bytes is not None:
+            body_bytes = min(body_bytes, self._length_bytes)
+        return len(self._target) + self._headers_weight() + body_bytes
+
+    def feed(self, chunk: memoryview) -> int:
+        """Parse received bytes, and return how many; the rest is to be fed later.
+
+        No more is parsed once enough requests are queued: their objects take many times
+        the bytes that they were sent in.
+        """
         for start in range(0, len(chunk), PARSE_CHUNK_BYTES):
             if self._is_ended:
                 break
-            self._parse(view[start : start + PARSE_CHUNK_BYTES])
+            if self._events.is_blocked:
+                return start
+            self._parse(chunk[start : start + PARSE_CHUNK_BYTES])
+        return len(chunk)
 
     def end(self) -> None:
-        """Ignore all further bytes, and free the memory."""
+        """Ignore all further bytes, and free the memory of the body."""
         self._is_ended = True
         self._body = bytearray()
 
@@ -101,6 +128,8 @@
         self._target = b''
         self.headers = []
         self._header_bytes = 0
+        self._length_bytes = None
+        self._is_in_body = False
         self._body = bytearray()
         self._events.begin_request()
 
@@ -111,17 +140,25 @@
 
     def on_header(self, name: bytes, header: bytes) -> None:
         """Store and count a header."""
+        if self._is_ended:
+            return
         self.headers.append((name.decode('latin-1'), header.decode('latin-1')))
         self._count_header(len(name) + len(header) + 4)
+        if len(self.headers) > HEADERS_MAX:
+            self._reject(431, f'over {HEADERS_MAX} headers')
 
     def on_headers_complete(self) -> None:
         """Let a caller send its body that waits for a go-ahead."""
         self._unreported_bytes = 0
         if self._is_ended or self._parser.should_upgrade():
             return
+        self._is_in_body = True
         for name, header in self.headers:
-            if name.lower() == 'expect' and header.lower() == '100-continue':
-                self._events.write(CONTINUE)
+            match name.lower():
+                case 'content-length':
+                    self._length_bytes = parse_count(header)
+                case 'expect' if header.lower() == '100-continue':
+                    self._events.write(CONTINUE)
 
     def on_body(self, chunk: bytes) -> None:
         """Append a chunk of the body; many small ones take no more than their bytes."""
@@ -137,18 +174,21 @@
         self._unreported_bytes = 0
         if self._is_ended or self._parser.should_upgrade():
             return
-        body = bytes(self._body)
-        self._body = bytearray()
-        self._header_bytes = 0
-        self._events.end_request(
-            ReadRequest(
-                self._parser.get_method().decode('latin-1'),
-                self._target.decode('latin-1'),
-                self.headers,
-                body,
-                self._parser.should_keep_alive(),
-            )
+        read = ReadRequest(
+            self._parser.get_method().decode('latin-1'),
+            self._target.decode('latin-1'),
+            self.headers,
+            bytes(self._body),
+            self._parser.should_keep_alive(),
         )
+        self._body = bytearray()
+        self._target = b''
+        self.headers = []
+        self._is_in_body = False
+        self._events.end_request(read)
+
+    def _headers_weight(self) -> int:
+        return self._header_bytes + HEADER_BYTES * len(self.headers)
 
     def _parse(self, chunk: memoryview) -> None:
         """Parse a chunk and bound the bytes that the parser has not reported.
--- a/cowsliploom/dataplane/_room.py
+++ b/cowsliploom/dataplane/_room.py
@@ -1,102 +1,242 @@
-"""Account of what the connections of a process hold, against its limits; sans-IO."""
+"""Account of what a process holds for others, against its limits; sans-IO."""
 
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Hashable, Iterator
 from dataclasses import dataclass
+from enum import Enum
 from typing import Generic, TypeVar
 
-SHED_TO_SHARE = 0.9  # of a limit; leaves room for the connections that come next
-MEMORY_SHARE = 0.25  # of a process's memory; the rest is for the program and its calls
+MEMORY_SHARE = 0.25  # of a process's memory; the rest is for the program itself
 FILES_RESERVED = 200  # descriptors for files, of those that a process may open
-CALLERS_SHARE = 0.5  # of the other descriptors; the rest is for servers and peers
+SHED_TO_SHARE = 0.9  # of a limit; leaves room for the connections that come next
+LARGE_SHARE = 0.8  # of the bytes; the rest is for connections that hold little
+WORK_SHARE = 0.6  # of the bytes; the rest is for what clients send and do not read
+SMALL_BYTES = 32_768  # a connection that holds no more holds little
+READ_BYTES = 16_384  # read from one connection before the next check
+
+Holder = TypeVar('Holder', bound=Hashable)
+
+
+class Use(Enum):
+    """What a descriptor is used for, and the share of all that it may take.
+
+    Calls may take all that is left; others leave them enough to answer requests.
+    """
+
+    CALLERS = 'callers'
+    PEERS = 'peers'
+    RELAYS = 'relays'
+    READINESS = 'readiness'
+    METRICS = 'metrics'
+    CALLS = 'calls'
+
 
-Holder = TypeVar('Holder')
+DESCRIPTOR_SHARES = {
+    Use.CALLERS: 0.5,
+    Use.PEERS: 0.1,
+    Use.RELAYS: 0.1,
+    Use.READINESS: 0.05,
+    Use.METRICS: 0.05,
+    Use.CALLS: 1.0,
+}
 
 
 @dataclass(frozen=True, slots=True)
 class RoomLimits:
-    """Limits on what connections may hold together.
+    """Limits on what a process may hold for others.
 
     Parameters
     ----------
     bytes_max : float
-        Bytes of requests and answers.
-    connections_max : float
-        Number of connections.
+        Bytes of requests, answers and connections.
+    descriptors_max : float
+        Number of open sockets.
 
     Examples
     --------
     >>> RoomLimits.of_process(memory_bytes=160_000_000, files_max=4100)
-    RoomLimits(bytes_max=40000000.0, connections_max=1950.0)
+    RoomLimits(bytes_max=40000000.0, descriptors_max=3900)
     """
 
     bytes_max: float = float('inf')
-    connections_max: float = float('inf')
+    descriptors_max: float = float('inf')
 
     @classmethod
     def of_process(cls, memory_bytes: float, files_max: float) -> 'RoomLimits':
         """Return the limits of a process that may use so much."""
-        files = max(1, files_max - FILES_RESERVED)
-        return cls(MEMORY_SHARE * memory_bytes, max(1, CALLERS_SHARE * files))
+        return cls(MEMORY_SHARE * memory_bytes, max(1, files_max - FILES_RESERVED))
 
-    def scaled(self, share: float) -> 'RoomLimits':
-        """Return a share of these limits."""
-        return RoomLimits(share * self.bytes_max, share * self.connections_max)
+    def descriptors_of(self, use: Use) -> float:
+        """Return how many descriptors one use may take."""
+        return max(1, DESCRIPTOR_SHARES[use] * self.descriptors_max)
 
 
 class Room(Generic[Holder]):
-    """Track what each connection holds, and which must give it up.
+    """Track what a process holds, and decide what may be added and who must go.
 
     Load: crowds of clients that read long answers slowly, send bodies that never end,
-    or open connections without a request. Each is within its own limits, but together
-    they take the memory or the descriptors of the process.
+    pipeline small requests, or open connections without a request. Each is within its
+    own limits, but together they take the memory or the descriptors of the process.
+
+    Two kinds of holders share the bytes. Connections of clients can be ended to make
+    room. Work, such as a request that runs or a call to a server, is never ended for
+    lack of room, so its share is bounded before it begins.
 
     Parameters
     ----------
     limits : RoomLimits
-        Limits on all connections together.
+        Limits on everything together.
+
+    Attributes
+    ----------
+    held_bytes : float
+        What all holders hold, also connections that are ended and still open.
+    work_bytes : float
+        Part of it that is held by work.
+    ending_bytes : float
+        Part of it that is held by ended connections.
 
     Examples
     --------
-    >>> room = Room(RoomLimits(bytes_max=100))
-    >>> room.update('a', 30)
-    >>> room.update('b', 80)
-    >>> list(room.victims())
+    >>> room = Room(RoomLimits(bytes_max=100_000))
+    >>> room.update('a', 30_000)
+    >>> room.update('b', 60_000)
+    >>> list(room.excess())
     ['b']
+    >>> room.held_bytes, room.ending_bytes
+    (90000, 60000)
     """
 
     def __init__(self, limits: RoomLimits) -> None:
         self.limits = limits
         self.held_bytes: float = 0
-        self._held: dict[Holder, float] = {}
-
-    def __len__(self) -> int:
-        """Return the number of connections."""
-        return len(self._held)
-
-    def update(self, holder: Holder, held_bytes: float) -> None:
-        """Record what a connection holds now."""
-        self.held_bytes += held_bytes - self._held.get(holder, 0)
-        self._held[holder] = held_bytes
-
-    def remove(self, holder: Holder) -> None:
-        """Forget a connection that has ended."""
-        self.held_bytes -= self._held.pop(holder, 0)
-
-    def victims(self) -> Iterator[Holder]:
+        self.work_bytes: float = 0
+        self.ending_bytes: float = 0
+        self.descriptors: Counter[Use] = Counter()
+        self._clients: dict[Holder, float] = {}
+        self._busy: set[Holder] = set()
+        self._ending: dict[Holder, float] = {}
+        self._work: dict[Hashable, float] = {}
+
+    # Bytes.
+
+    def update(self, client: Holder, held_bytes: float, is_busy: bool = False) -> None:
+        """Record what a client's connection holds now.
+
+        Parameters
+        ----------
+        client : Holder
+            The connection.
+        held_bytes : float
+            What it holds.
+        is_busy : bool
+            Whether a request of it runs, so that it is ended only if no other is left.
+            Default False.
+        """
+        if client in self._ending:
+            change = held_bytes - self._ending[client]
+            self._ending[client] = held_bytes
+            self.ending_bytes += change
+        else:
+            change = held_bytes - self._clients.get(client, 0)
+            self._clients[client] = held_bytes
+        self.held_bytes += change
+        if is_busy:
+            self._busy.add(client)
+        else:
+            self._busy.discard(client)
+
+    def remove(self, client: Holder) -> None:
+        """Forget a connection that is closed, with its memory freed."""
+        self.end(client)
+        held_bytes = self._ending.pop(client, 0)
+        self.held_bytes -= held_bytes
+        self.ending_bytes -= held_bytes
+
+    def end(self, client: Holder) -> None:
+        """Record that a connection is being closed; it still holds its bytes."""
+        self._busy.discard(client)
+        held_bytes = self._clients.pop(client, None)
+        if held_bytes is not None:
+            self._ending[client] = held_bytes
+            self.ending_bytes += held_bytes
+
+    def charge(self, work: Hashable, held_bytes: float) -> None:
+        """Record what a piece of work holds now; 0 if it has ended."""
+        change = held_bytes - self._work.get(work, 0)
+        if held_bytes:
+            self._work[work] = held_bytes
+        else:
+            self._work.pop(work, None)
+        self.work_bytes += change
+        self.held_bytes += change
+
+    def charged(self, work: Hashable) -> float:
+        """Return what a piece of work holds."""
+        return self._work.get(work, 0)
+
+    def admits(self, more_bytes: float, held_bytes: float = 0) -> bool:
+        """Return whether a connection that holds so much may hold more."""
+        is_small = held_bytes + more_bytes <= SMALL_BYTES
+        share = 1 if is_small else LARGE_SHARE
+        return self.held_bytes + more_bytes <= share * self.limits.bytes_max
+
+    def has_work_share(self, more_bytes: float) -> bool:
+        """Return whether more work would stay within the share of work."""
+        return self.work_bytes + more_bytes <= WORK_SHARE * self.limits.bytes_max
+
+    def admits_work(self, more_bytes: float) -> bool:
+        """Return whether a piece of work may begin or hold more."""
+        return self.has_work_share(more_bytes) and self.admits(more_bytes)
+
+    def excess(self) -> Iterator[Holder]:
+        """Yield the connections to end when there is no room for a small request."""
+        if self._lasting_bytes + READ_BYTES > self.limits.bytes_max:
+            yield from self.victims(SHED_TO_SHARE * self.limits.bytes_max)
+
+    def victims(self, bytes_max: float, spares_busy: bool = False) -> Iterator[Holder]:
         """Yield the connections to end, greediest first, until the others fit.
 
         Of those that hold as much, the oldest goes first.
+
+        Parameters
+        ----------
+        bytes_max : float
+            What may be held once the ended connections are closed.
+        spares_busy : bool
+            Whether connections with a running request are left open. Default False.
         """
-        is_full = self.held_bytes > self.limits.bytes_max
-        is_crowded = len(self._held) > self.limits.connections_max
-        if not (is_full or is_crowded):
+        if self._lasting_bytes <= bytes_max:
             return
-        bytes_max = SHED_TO_SHARE * self.limits.bytes_max
-        connections_max = SHED_TO_SHARE * self.limits.connections_max
-        ranked = sorted(self._held, key=self._held.__getitem__, reverse=True)
-        for holder in ranked:
-            fits = not is_full or self.held_bytes <= bytes_max
-            if fits and (not is_crowded or len(self._held) <= connections_max):
+        for client in sorted(self._clients, key=self._rank):
+            is_spared = spares_busy and client in self._busy
+            if is_spared or self._lasting_bytes <= bytes_max:
                 return
-            self.remove(holder)
-            yield holder
+            self.end(client)
+            yield client
+
+    # Descriptors.
+
+    def may_open(self, use: Use) -> bool:
+        """Return whether one more descriptor may be opened."""
+        is_below_share = self.descriptors[use] < self.limits.descriptors_of(use)
+        return is_below_share and (
+            self.descriptors.total() < self.limits.descriptors_max
+        )
+
+    def open(self, use: Use) -> None:
+        """Record an open descriptor."""
+        self.descriptors[use] += 1
+
+    def close(self, use: Use) -> None:
+        """Record that a descriptor is closed."""
+        self.descriptors[use] -= 1
+
+    @property
+    def _lasting_bytes(self) -> float:
+        """What will be held once the ended connections are closed."""
+        return self.held_bytes - self.ending_bytes
+
+    def _rank(self, client: Holder) -> tuple[bool, float]:
+        """Return a key that sorts busy connections last, then the greediest first."""
+        return client in self._busy, -self._clients[client]
--- a/cowsliploom/forwarding/__init__.py
+++ b/cowsliploom/forwarding/__init__.py
@@ -49,6 +49,7 @@
 from cowsliploom.forwarding._reachability import (
     unreachable_routes as unreachable_routes,
 )
+from cowsliploom.forwarding._records import greatest_records as greatest_records
 from cowsliploom.forwarding._records import merge_records as merge_records
 from cowsliploom.forwarding._relay_plan import RelayShare as RelayShare
 from cowsliploom.forwarding._relay_plan import plan_relays as plan_relays
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -184,13 +184,16 @@
         now_ms = event.now_ms
         reason = f'{event.step.value}: {event.reason}'
         sub_request.record_failure(attempt, now_ms, reason)
-        if event.step is CallStep.CONNECT:
-            attempt.server.record_unreachable(now_ms, reason)
-        else:
-            attempt.server.record_failure(now_ms, reason)
-            self._context.calls.add(
-                attempt, self.route.name, now_ms, ok=False, answered=False
-            )
+        match event.step:
+            case CallStep.LOCAL:
+                pass  # tells nothing about the server
+            case CallStep.CONNECT:
+                attempt.server.record_unreachable(now_ms, reason)
+            case _:
+                attempt.server.record_failure(now_ms, reason)
+                self._context.calls.add(
+                    attempt, self.route.name, now_ms, ok=False, answered=False
+                )
         if not event.may_have_run:
             sub_request.discount_attempt(attempt, rejected=False)
         yield from self._resend(sub_request, now_ms)
--- a/cowsliploom/forwarding/_messages.py
+++ b/cowsliploom/forwarding/_messages.py
@@ -88,8 +88,9 @@
 
 
 class CallStep(StrEnum):
-    """Step at which a call failed."""
+    """Step at which a call failed; ``LOCAL`` if this process had no room for it."""
 
+    LOCAL = 'local'
     CONNECT = 'connect'
     SEND = 'send'
     RECEIVE = 'receive'
--- a/cowsliploom/forwarding/_records.py
+++ b/cowsliploom/forwarding/_records.py
@@ -6,9 +6,11 @@
 
 RECORD_BYTES = 16
 RECORD = Struct(f'{RECORD_BYTES}s')
+SLICE_BYTES = 65_536  # of a body that is split at a time
+UNSORTED_MAX = 16_384  # records that are kept before the lesser ones are dropped
 
 
-def split_records(body: bytes) -> list[bytes]:
+def split_records(body: bytes | memoryview) -> list[bytes]:
     """Return the complete records of a body; a shorter remainder is ignored.
 
     Examples
@@ -30,5 +32,26 @@
     records_max : int
         Number of records to keep.
     """
-    records = [record for body in bodies for record in split_records(body)]
-    return b''.join(nlargest(records_max, records))
+    kept: list[bytes] = []
+    for body in bodies:
+        view = memoryview(body)
+        for start in range(0, len(body), SLICE_BYTES):
+            kept.extend(split_records(view[start : start + SLICE_BYTES]))
+            if len(kept) > UNSORTED_MAX + records_max:
+                kept = nlargest(records_max, kept)
+    return b''.join(nlargest(records_max, kept))
+
+
+def greatest_records(body: bytes, records_max: int) -> bytes:
+    """Return a body that merges like another one, and is short.
+
+    A body with few records is returned as it is.
+
+    Examples
+    --------
+    >>> greatest_records(b'a' * 16 + b'c' * 16 + b'b' * 16, 1)
+    b'cccccccccccccccc'
+    """
+    if len(body) <= 2 * records_max * RECORD_BYTES:
+        return body
+    return merge_records((body,), records_max)
--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from functools import partial
 from typing import Protocol
 
 from cowsliploom import platform
 from cowsliploom.dataplane import (
     Abortable,
+    Admission,
     AnswerBounds,
     CallResult,
     ConnectionPools,
@@ -15,6 +17,7 @@
     HeadWatch,
     HttpAnswer,
     HttpCall,
+    headers_weight,
 )
 from cowsliploom.forwarding import (
     CallAnswered,
@@ -28,6 +31,7 @@
     Server,
     ServerNotice,
     Ticked,
+    greatest_records,
 )
 
 MS_PER_S = 1000
@@ -45,6 +49,8 @@
     ----------
     dispatcher : RequestDispatcher
         Holds the fleet of known servers.
+    admission : Admission or None
+        Account of the process. Default one without limits.
 
     Attributes
     ----------
@@ -52,11 +58,16 @@
         Receives the request id and an unexpected error that ended a request.
     """
 
-    def __init__(self, dispatcher: RequestDispatcher) -> None:
+    def __init__(
+        self, dispatcher: RequestDispatcher, admission: Admission | None = None
+    ) -> None:
         self.dispatcher = dispatcher
+        self.admission = Admission() if admission is None else admission
         self.loop = asyncio.get_running_loop()
         self.report_error: Callable[[str, Exception], None] = self._report_to_loop
-        self._pools: ConnectionPools[Server] = ConnectionPools(SERVER_BOUNDS)
+        self._pools: ConnectionPools[Server] = ConnectionPools(
+            SERVER_BOUNDS, self.admission
+        )
 
     def now_ms(self) -> float:
         """Return the monotonic time in milliseconds."""
@@ -147,6 +158,8 @@
         Common start of all calls.
     body : bytes
         Request body.
+    records_max : int or None
+        Greatest records that are needed of each answer; None for whole answers.
     """
 
     def __init__(
@@ -156,8 +169,11 @@
         request_id: str,
         head: str,
         body: bytes,
+        records_max: int | None = None,
     ) -> None:
         self.pools = pools
+        self.held_bytes = 0
+        self._records_max = records_max
         self.request_id = request_id
         self.head = head
         self.body = body
@@ -221,14 +237,13 @@
 
     def _send(self, command: SendCall) -> None:
         server = command.server
-        content = platform.render_call(
-            self.head, self.body, server.name, command.patience_ms
-        )
+        content = platform.render_call(self.head, server.name, command.patience_ms)
         call = HttpCall(
             content,
             partial(self._handle_result, command.call_id),
             partial(platform.answer_origin, self.request_id),
             self._used_connections,
+            self.body,
         )
         self.calls[command.call_id] = call
         self.pools.send(server, call)
@@ -238,14 +253,32 @@
         now_ms = self.pools.now_ms()
         if isinstance(result, HttpAnswer):
             answer = platform.read_answer(result)
+            if self._records_max is None:
+                self.hold(len(answer.body) + headers_weight(answer.headers))
+            else:
+                body = greatest_records(answer.body, self._records_max)
+                answer = replace(answer, body=body, headers=())
+                self.hold(len(body))
             self.handle(CallAnswered(now_ms, call_id, answer))
             return
         self.handle(
             CallFailed(now_ms, call_id, result.step, result.reason, result.may_have_run)
         )
 
+    def hold(self, more_bytes: int) -> None:
+        """Record that the request holds more memory, until it is over."""
+        self.held_bytes += more_bytes
+        self.pools.admission.charge(self, self.held_bytes)
+
+    def release(self, held_bytes: int = 0) -> None:
+        """Record that the request holds no more than so much."""
+        self.held_bytes = min(self.held_bytes, held_bytes)
+        self.pools.admission.charge(self, self.held_bytes)
+
     def _set_timer(self) -> None:
         machine = self._machine
+        if machine.is_over:
+            self.release()
         if self._timer is not None:
             if not machine.is_over and self._timer_ms <= machine.due_ms:
                 return
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -6,10 +6,12 @@
 from pathlib import Path
 
 from cowsliploom.dataplane import (
+    Admission,
     FrameListener,
     HttpListener,
     HttpRequest,
     RoomLimits,
+    Use,
 )
 from cowsliploom.forwarding import CallerLimits, RequestDispatcher
 from cowsliploom.gateway._background import keep_running
@@ -24,6 +26,7 @@
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._relays import Relays
 from cowsliploom.gateway._request_log import RequestLog
+from cowsliploom.gateway._room_log import RoomLog
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._store_watch import StoreWatch
 from cowsliploom.gateway._suspension import SuspensionDetector
@@ -44,6 +47,7 @@
 DRAIN_POLL_MS = 50.0
 METRICS_PORT = 9464
 METRICS_PATH = '/metrics'
+STATUS_LIMITS = CallerLimits(body_bytes_max=1024)  # questions without a body
 
 
 class EntryDaemon:
@@ -63,10 +67,10 @@
         self._is_draining = False
         self._stop = asyncio.Event()
         self._seed = int.from_bytes(os.urandom(4))
-        self._room = RoomLimits.of_process(
-            self.settings.memory_bytes, self.settings.files_max
+        self._admission = Admission(
+            RoomLimits.of_process(self.settings.memory_bytes, self.settings.files_max)
         )
-        self._shed_logged = 0
+        self._room_log = RoomLog(self._admission, self.log, self.metrics)
         self._tasks: list[asyncio.Task[None]] = []
         loop = asyncio.get_running_loop()
         self._loop = loop
@@ -74,7 +78,7 @@
             self.settings.budget, self._seed, self.settings.data_centre, self._owns
         )
         self._store_view = StoreView(self._dispatcher, self.log, self.settings.apply_ms)
-        self._pools = ServerPools(self._dispatcher)
+        self._pools = ServerPools(self._dispatcher, self._admission)
         self._pools.report_error = self._record_request_error
         self._relays = Relays(self._pools, self.settings.relays_address, self.log)
         self._request_log = RequestLog(self.log, self.metrics, self._store_view)
@@ -82,7 +86,7 @@
         self._forwarder = Forwarder(
             self._pools, self._relays, self._request_log, self._usage
         )
-        self._store = PlatformStore(self.settings.store_address)
+        self._store = PlatformStore(self.settings.store_address, self._admission)
         own = Member(
             self.settings.name,
             self.settings.peers_address,
@@ -97,6 +101,7 @@
             self._now_ms,
             self.settings.apply_ms,
             self._usage,
+            self._admission,
         )
         self._fleet_tasks = FleetTasks(
             DaemonParts(
@@ -127,7 +132,7 @@
             self._forwarder.handle,
             self._limits,
             self._request_log.record_rejection,
-            self._room,
+            self._admission,
         )
 
     async def run(self) -> None:
@@ -151,10 +156,22 @@
         host = self.settings.callers_address.rpartition(':')[0]
         listeners: list[HttpListener | FrameListener] = [
             self._caller_listener,
-            HttpListener(self.settings.readiness_address, self._answer_readiness),
+            HttpListener(
+                self.settings.readiness_address,
+                self._answer_readiness,
+                _status_limits,
+                admission=self._admission,
+                use=Use.READINESS,
+            ),
             self._peers.listener,
             self._relays.listener,
-            HttpListener(f'{host}:{METRICS_PORT}', self._answer_metrics),
+            HttpListener(
+                f'{host}:{METRICS_PORT}',
+                self._answer_metrics,
+                _status_limits,
+                admission=self._admission,
+                use=Use.METRICS,
+            ),
         ]
         for listener in listeners:
             await listener.start()
@@ -216,7 +233,7 @@
             self._pools.close_removed()
             self._budget_share.read()  # counts members even while no budget is used
             budget_log.report()
-            self._record_shed_connections()
+            self._room_log.report()
             self._caller_listener.is_draining = (
                 self._is_draining or self._isolation.is_isolated
             )
@@ -227,19 +244,6 @@
         if late_ms > LATE_LOOP_MS:
             self.log.write('daemon', 'behind', late_ms=round(late_ms))
 
-    def _record_shed_connections(self) -> None:
-        """Report connections that were ended for lack of room since the last time."""
-        callers = self._caller_listener
-        if callers.shed_connections != self._shed_logged:
-            self.log.write(
-                'daemon',
-                'connections shed',
-                shed=callers.shed_connections - self._shed_logged,
-                connections=len(callers.connections),
-                held_bytes=round(callers.room.held_bytes),
-            )
-            self._shed_logged = callers.shed_connections
-
     def _resume(self, suspended_ms: float) -> None:
         """Add a suspension to the ages of received state; close idle connections."""
         self.log.write('daemon', 'resumed', missed_ms=round(suspended_ms))
@@ -300,9 +304,11 @@
             'configuration_confirmed_age_ms', round(in_force.confirmed_age_ms)
         )
         self.metrics.set_gauge('log_lines_lost', self.log.lost)
-        callers = self._caller_listener
-        self.metrics.set_gauge('caller_connections', len(callers.connections))
-        self.metrics.set_gauge('caller_held_bytes', callers.room.held_bytes)
-        self.metrics.set_gauge('caller_connections_shed', callers.shed_connections)
+        self._room_log.set_gauges()
         headers = [('Content-Type', 'text/plain; version=0.4')]
         request.answer(200, headers, self.metrics.render().encode())
+
+
+def _status_limits() -> CallerLimits:
+    """Return the limits on questions of the platform and of operators."""
+    return STATUS_LIMITS
--- a/cowsliploom/gateway/_forwarder.py
+++ b/cowsliploom/gateway/_forwarder.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from cowsliploom import platform
-from cowsliploom.dataplane import HttpRequest
+from cowsliploom.dataplane import HttpRequest, exchange_weight, headers_weight
 from cowsliploom.forwarding import (
     CallerLeft,
     CallerRequest,
@@ -28,6 +28,8 @@
 NEEDED_TIME_RATIO = 2
 INTERNAL_ERROR = ErrorReply(Outcome.FAILED, 'internal error')
 RETRY_AFTER_MS = 50.0  # other entry VMs still accept requests
+ROOM_RETRY_AFTER_MS = 300.0  # the requests that take the room end by their deadlines
+HEADER_COPIES = 3  # as received, as forwarded, and in the head of the calls
 
 
 class Forwarder:
@@ -90,6 +92,11 @@
             self._reply(http, request, None, opened)
             return None
         runner = _RequestRunner(self, http, request, opened)
+        if not runner.admit():
+            retry_after_ms = self.pools.dispatcher.retry_after_ms(ROOM_RETRY_AFTER_MS)
+            refusal = ErrorReply(Outcome.REFUSED, 'out of memory', retry_after_ms)
+            self._reply(http, request, None, refusal)
+            return None
         self._runners.add(runner)
         runner.start()
         return runner.handle_disconnect
@@ -100,6 +107,7 @@
             return
         self._runners.discard(runner)
         runner.settle_usage()
+        runner.release(runner.weight)
         self._reply(runner.http, runner.request, runner.exchange, reply)
 
     def _open(self, request: CallerRequest) -> Exchange | ErrorReply:
@@ -149,6 +157,7 @@
             request.request_id,
             platform.render_call_head(request, exchange.workspace),
             request.body,
+            exchange.route.fan_out.records_max if exchange.route.fan_out else None,
         )
         self._forwarder = forwarder
         self.http = http
@@ -156,6 +165,18 @@
         self.exchange = exchange
         self._usage_window = 0
 
+    @property
+    def weight(self) -> int:
+        """Memory that the request takes, without answers."""
+        headers = HEADER_COPIES * headers_weight(self.http.headers)
+        services = exchange_weight(len(self.exchange.sub_requests))
+        return services + headers + len(self.request.body)
+
+    def admit(self) -> bool:
+        """Return whether the process has room for the request, and take it."""
+        self.held_bytes = self.weight
+        return self.pools.admission.begin(self, self.held_bytes)
+
     def execute(self, commands: Iterable[Command]) -> None:
         """Execute commands, and meter the request once it is sent."""
         commands = tuple(commands)
--- a/cowsliploom/gateway/_peer_calls.py
+++ b/cowsliploom/gateway/_peer_calls.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cowsliploom.dataplane import (
+    Admission,
     AnswerBounds,
     CallResult,
     ConnectionPools,
@@ -34,16 +35,24 @@
         Counters of messages and bytes.
     now_ms : callable
         Monotonic clock.
+    admission : Admission or None
+        Account of the process. Default one without limits.
     """
 
     def __init__(
-        self, log: LineLog, metrics: Metrics, now_ms: Callable[[], float]
+        self,
+        log: LineLog,
+        metrics: Metrics,
+        now_ms: Callable[[], float],
+        admission: Admission | None = None,
     ) -> None:
         self.log = log
         self.metrics = metrics
         self.now_ms = now_ms
         self.pools: ConnectionPools[str] = ConnectionPools(
-            AnswerBounds(body_bytes_max=MESSAGE_BYTES_MAX)
+            AnswerBounds(body_bytes_max=MESSAGE_BYTES_MAX),
+            admission,
+            has_priority=True,
         )
 
     async def call(self, address: str, message: PeerMessage) -> PeerMessage | None:
--- a/cowsliploom/gateway/_peers.py
+++ b/cowsliploom/gateway/_peers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cowsliploom.dataplane import HttpListener, HttpRequest
+from cowsliploom.dataplane import Admission, HttpListener, HttpRequest, Use
 from cowsliploom.forwarding import CallerLimits
 from cowsliploom.gateway._background import BackgroundTasks
 from cowsliploom.gateway._expiry_hold import StoreOutage
@@ -75,6 +75,8 @@
         Time within which a new configuration is to be in force.
     usage : UsageExchange or None
         Counts of usage that messages carry. Default none.
+    admission : Admission or None
+        Account of the process. Default one without limits.
     """
 
     def __init__(
@@ -86,13 +88,15 @@
         now_ms: Callable[[], float],
         apply_ms: float,
         usage: UsageExchange | None = None,
+        admission: Admission | None = None,
     ) -> None:
         self.known = known
         self._usage = usage or UsageExchange()
         self._roster_sync = RosterSync(known)
         self._store_view = store_view
         self._log = log
-        self._calls = PeerCalls(log, metrics, now_ms)
+        admission = Admission() if admission is None else admission
+        self._calls = PeerCalls(log, metrics, now_ms, admission)
         self.now_ms = now_ms
         self.watcher_liveness = WatcherLiveness(apply_ms)
         self.facts = FactRegistry()
@@ -101,6 +105,8 @@
             self._handle_request,
             lambda: PEER_LIMITS,
             self._calls.rejected,
+            admission,
+            Use.PEERS,
         )
         self._random = random.Random(known.own.name)
         self._live: frozenset[str] = frozenset()
--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from cowsliploom.dataplane import FrameConnection, FrameListener, open_frame_connection
+from cowsliploom.dataplane import (
+    Admission,
+    FrameConnection,
+    FrameListener,
+    exchange_weight,
+    open_frame_connection,
+)
 from cowsliploom.forwarding import (
     BackendAnswer,
     CallerLeft,
@@ -17,6 +23,7 @@
     RelayAnswered,
     RelayCallFailed,
     RelayCallsSent,
+    RelayedPart,
     RelayedShare,
     RelayReport,
     SendToRelay,
@@ -91,6 +98,7 @@
         ids = {part.shard: self._open_calls.pop(part.shard) for part in known}
         for call_id in ids.values():
             self.runner.calls.pop(call_id, None)
+        self.runner.hold(len(report.records))
         answered = [part for part in known if part.signature]
         bodies = itertools.chain((report.records,), itertools.repeat(b''))
         answers = tuple(
@@ -124,11 +132,14 @@
         Address of the relay.
     log : LineLog
         Receives malformed frames.
+    admission : Admission
+        Account of the process.
     """
 
-    def __init__(self, address: str, log: LineLog) -> None:
+    def __init__(self, address: str, log: LineLog, admission: Admission) -> None:
         self.address = address
         self.log = log
+        self._admission = admission
         self._ids = itertools.count(1)
         self._shares: dict[int, RequestedShare] = {}
         self._connection: FrameConnection | None = None
@@ -175,7 +186,10 @@
     async def _connect(self) -> None:
         try:
             connection = await open_frame_connection(
-                self.address, self._handle_frame, self._handle_disconnect
+                self.address,
+                self._handle_frame,
+                self._handle_disconnect,
+                self._admission,
             )
         except OSError as error:
             self._connecting = None
@@ -227,12 +241,25 @@
         send: Callable[[Frame], None],
         on_end: Callable[[], None],
     ) -> None:
-        super().__init__(pools, share, request.request_id, request.head, request.body)
+        super().__init__(
+            pools,
+            share,
+            request.request_id,
+            request.head,
+            request.body,
+            request.records_max,
+        )
+        self._weight = exchange_weight(len(request.shards)) + len(request.body)
         self._share = share
         self._share_id = request.share_id
         self._send_frame = send
         self._on_end = on_end
 
+    def admit(self) -> bool:
+        """Return whether the process has room for the share, and take it."""
+        self.held_bytes = self._weight
+        return self.pools.admission.begin(self, self.held_bytes)
+
     def start(self) -> None:
         """Send the calls and report which servers were called."""
         super().start()
@@ -259,6 +286,11 @@
         self.handle(CallerLeft(self.pools.now_ms()))
 
 
+def _not_run(shards: Iterable[str]) -> RelayReport:
+    """Return the report on shards that were not called, for lack of room."""
+    return RelayReport(tuple(RelayedPart(shard) for shard in shards), b'')
+
+
 def _send_frame(connection: FrameConnection, frame: Frame) -> None:
     connection.send(encode_frame(frame))
 
@@ -280,7 +312,7 @@
         self.pools = pools
         self.log = log
         self.listener = FrameListener(
-            address, self._handle_frame, self._handle_disconnect
+            address, self._handle_frame, self._handle_disconnect, pools.admission
         )
         self._port = address.rpartition(':')[2]
         self._clients: dict[str, _RelayClient] = {}
@@ -291,7 +323,9 @@
         host = command.relay.record.address.rpartition(':')[0]
         client = self._clients.get(host)
         if client is None:
-            client = _RelayClient(f'{host}:{self._port}', self.log)
+            client = _RelayClient(
+                f'{host}:{self._port}', self.log, self.pools.admission
+            )
             self._clients[host] = client
         client.request_share(command, runner)
 
@@ -325,15 +359,19 @@
             now_ms + frame.report_after_ms,
         )
         key = (connection, frame.share_id)
-
-        self._runners[key] = _ShareRunner(
+        runner = _ShareRunner(
             self.pools,
             share,
             frame,
             partial(_send_frame, connection),
             partial(self._remove, key),
         )
-        self._runners[key].start()
+        if not runner.admit():
+            refusal = ShareReport(frame.share_id, _not_run(frame.shards))
+            _send_frame(connection, refusal)
+            return
+        self._runners[key] = runner
+        runner.start()
 
     def _remove(self, key: tuple[FrameConnection, int]) -> None:
         self._runners.pop(key, None)
--- a/cowsliploom/platform/_headers.py
+++ b/cowsliploom/platform/_headers.py
@@ -129,15 +129,13 @@
     return '\r\n'.join(lines)
 
 
-def render_call(head: str, body: bytes, server_name: str, timeout_ms: float) -> bytes:
-    """Return a request as it is sent to a backend server.
+def render_call(head: str, server_name: str, timeout_ms: float) -> bytes:
+    """Return the head of a request as it is sent to a backend server.
 
     Parameters
     ----------
     head : str
         Head that all calls of the request share.
-    body : bytes
-        Body of the request.
     server_name : str
         Incarnation of the server that is to answer.
     timeout_ms : float
@@ -146,7 +144,7 @@
     call_headers = (
         f'Deadline: {max(1, int(timeout_ms))}\r\nTarget-Instance: {server_name}'
     )
-    return f'{head}\r\n{call_headers}\r\n\r\n'.encode('latin-1') + body
+    return f'{head}\r\n{call_headers}\r\n\r\n'.encode('latin-1')
 
 
 def answer_origin(request_id: str, answer: HttpAnswer) -> AnswerOrigin:
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from cowsliploom.dataplane import (
+    Admission,
     CallResult,
     ConnectionPool,
     HeaderList,
@@ -138,6 +139,8 @@
     ----------
     address : str
         ``host:port`` of the store.
+    admission : Admission or None
+        Account of the process. Default one without limits.
 
     Attributes
     ----------
@@ -147,11 +150,13 @@
         How often the store has come back from an older copy, as last heard.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, admission: Admission | None = None) -> None:
         self.address = address
         self.calls: Counter[str] = Counter()
         self.era = 0
-        self._pool = ConnectionPool(address, CONNECT_TIMEOUT_MS)
+        self._pool = ConnectionPool(
+            address, CONNECT_TIMEOUT_MS, admission=admission, has_priority=True
+        )
 
     async def list_prefix(
         self, prefix: str, timeout_ms: float
