Leave descriptors to new connections when calls hold all of them

Calls that found no descriptor also tried three more times each, and closed idle connections anew for each try.

Now a listener whose share is free closes idle connections to servers, once for all that lack a descriptor; calls may take four fifths; and a call without a descriptor ends its sub-request, which is refused if nothing ran.

--- a/cowsliploom/dataplane/_acceptor.py
+++ b/cowsliploom/dataplane/_acceptor.py
@@ -127,6 +127,9 @@
         self._admission.wait(self)
 
     def _make_room(self) -> None:
-        """End a connection if its descriptor is needed and no request runs on it."""
-        if not self._admission.room.may_open(self._use):
+        """Return descriptors that are needed: of an idle connection here, or to servers."""
+        room = self._admission.room
+        if not room.has_share(self._use):
             self._end_oldest()
+        elif not room.may_open(self._use):
+            self._admission.close_idle_calls()
--- a/cowsliploom/dataplane/_admission.py
+++ b/cowsliploom/dataplane/_admission.py
@@ -16,7 +16,7 @@
 MS_PER_S = 1000
 WAIT_MAX_MS = 200  # before the greediest connection is ended for those that wait
 OVERDUE_CHECK_MS = 50
-CLOSING_S = 0.005  # in which closed connections return their descriptors
+CLOSING_MS = 5  # in which closed connections return their descriptors
 
 
 class Client(Hashable, Protocol):
@@ -77,6 +77,7 @@
         self.on_shortage: list[Callable[[], None]] = []
         self._waiters: dict[Waiter, float] = {}
         self._is_resume_due = False
+        self._closing_until_ms: float = 0
         self._overdue_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -200,13 +201,21 @@
         """
         if self.open(Use.CALLS):
             return True
-        for close_idle in self.on_shortage:
-            close_idle()
-        await asyncio.sleep(CLOSING_S)
+        self.close_idle_calls()
+        await asyncio.sleep(CLOSING_MS / MS_PER_S)
         is_open = self.open(Use.CALLS)
         self.refused += not is_open
         return is_open
 
+    def close_idle_calls(self) -> None:
+        """Close idle connections to servers, once for all that lack a descriptor."""
+        now_ms = self.now_ms()
+        if now_ms < self._closing_until_ms:
+            return
+        self._closing_until_ms = now_ms + CLOSING_MS
+        for close_idle in self.on_shortage:
+            close_idle()
+
     def close(self, use: Use) -> None:
         """Return a descriptor."""
         self.room.close(use)
--- a/cowsliploom/dataplane/_room.py
+++ b/cowsliploom/dataplane/_room.py
@@ -20,7 +20,8 @@
 class Use(Enum):
     """What a descriptor is used for, and the share of all that it may take.
 
-    Calls may take all that is left; others leave them enough to answer requests.
+    The shares add up to more than all, so that none lies idle; but neither calls nor
+    listeners can take all from the others.
     """
 
     CALLERS = 'callers'
@@ -37,7 +38,7 @@
     Use.RELAYS: 0.1,
     Use.READINESS: 0.05,
     Use.METRICS: 0.05,
-    Use.CALLS: 1.0,
+    Use.CALLS: 0.8,
 }
 
 
@@ -219,10 +220,12 @@
 
     def may_open(self, use: Use) -> bool:
         """Return whether one more descriptor may be opened."""
-        is_below_share = self.descriptors[use] < self.limits.descriptors_of(use)
-        return is_below_share and (
-            self.descriptors.total() < self.limits.descriptors_max
-        )
+        is_total_free = self.descriptors.total() < self.limits.descriptors_max
+        return is_total_free and self.has_share(use)
+
+    def has_share(self, use: Use) -> bool:
+        """Return whether a use has taken less than its share."""
+        return self.descriptors[use] < self.limits.descriptors_of(use)
 
     def open(self, use: Use) -> None:
         """Record an open descriptor."""
--- a/cowsliploom/dataplane/tests/test_admission.py
+++ b/cowsliploom/dataplane/tests/test_admission.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from cowsliploom.dataplane import ConnectionPool, HttpAnswer, HttpListener
+from cowsliploom.dataplane import (
+    ConnectionPool,
+    ConnectionPools,
+    HttpAnswer,
+    HttpListener,
+)
 from cowsliploom.dataplane._admission import WAIT_MAX_MS, Admission
 from cowsliploom.dataplane._room import RoomLimits, Use
 from cowsliploom.forwarding import CallerLimits
@@ -200,3 +205,19 @@
         assert len(busy) == 10
 
     run_in_room(NO_LIMIT, script, descriptors_max=20, handler=waiting.append)
+
+
+def test_idle_calls_leave_descriptors_to_new_connections():
+    """Idle connections to servers took all, and nobody was accepted until they ended."""
+
+    async def script(listener, admission):
+        pool = ConnectionPool(listener.address)
+        shared = ConnectionPools(admission=admission)
+        calls = (shared.get(n, listener.address).ask(ONE, 5000) for n in range(4))
+        await asyncio.gather(*calls)
+        assert admission.room.descriptors == {Use.CALLS: 4, Use.CALLERS: 4}
+        admission.room.descriptors[Use.METRICS] = 2
+        assert (await pool.ask(ONE, 5000)).status == 200
+        pool.close()
+
+    run_in_room(NO_LIMIT, script, descriptors_max=10)
--- a/cowsliploom/forwarding/_exchange.py
+++ b/cowsliploom/forwarding/_exchange.py
@@ -186,7 +186,10 @@
         sub_request.record_failure(attempt, now_ms, reason)
         match event.step:
             case CallStep.LOCAL:
-                pass  # tells nothing about the server
+                # Tells nothing about the server; another call would lack room too.
+                sub_request.discount_attempt(attempt, rejected=False)
+                sub_request.end_unless_open(event.reason)
+                return
             case CallStep.CONNECT:
                 attempt.server.record_unreachable(now_ms, reason)
             case _:
--- a/cowsliploom/forwarding/tests/test_exchange.py
+++ b/cowsliploom/forwarding/tests/test_exchange.py
@@ -56,6 +56,18 @@
     assert len(driver.open_ids) == calls_after
 
 
+def test_call_without_room_is_refused_at_once_and_its_server_not_blamed():
+    dispatcher = make_dispatcher()
+    for number in range(20):
+        driver = RequestDriver.start(dispatcher, '/safe/x')
+        (call_id,) = driver.open_ids
+        driver.fail(call_id, number, CallStep.LOCAL, may_have_run=False)
+        assert driver.reply.outcome is Outcome.REFUSED
+        assert not driver.open_ids
+    later = RequestDriver.start(dispatcher, '/safe/x')
+    assert len(later.open_ids) == 1
+
+
 @pytest.mark.parametrize(
     ('may_have_run', 'outcome'), [(True, Outcome.FAILED), (False, None)]
 )
