--- a/cowsliploom/dataplane/_acceptor.py
+++ b/cowsliploom/dataplane/_acceptor.py
@@ -127,7 +127,7 @@
         self._admission.wait(self)
 
     def _make_room(self) -> None:
-        """Return descriptors that are needed: of an idle connection here, or to servers."""
+        """Close an idle connection here, or idle ones to servers, for descriptors."""
         room = self._admission.room
         if not room.has_share(self._use):
             self._end_oldest()
--- a/cowsliploom/dataplane/tests/test_admission.py
+++ b/cowsliploom/dataplane/tests/test_admission.py
@@ -208,13 +208,13 @@
 
 
 def test_idle_calls_leave_descriptors_to_new_connections():
-    """Idle connections to servers took all, and nobody was accepted until they ended."""
+    """Idle connections to servers took all, and nobody was accepted for seconds."""
 
     async def script(listener, admission):
         pool = ConnectionPool(listener.address)
         shared = ConnectionPools(admission=admission)
-        calls = (shared.get(n, listener.address).ask(ONE, 5000) for n in range(4))
-        await asyncio.gather(*calls)
+        pools = [shared.get(peer, listener.address) for peer in range(4)]
+        await asyncio.gather(*(each.ask(ONE, 5000) for each in pools))
         assert admission.room.descriptors == {Use.CALLS: 4, Use.CALLERS: 4}
         admission.room.descriptors[Use.METRICS] = 2
         assert (await pool.ask(ONE, 5000)).status == 200
