--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -108,6 +108,7 @@
         """Set the socket options of the new connection."""
         self.was_made = True
         self._transport = cast(asyncio.Transport, transport)
+        self._room.transport = self._transport
         sock = transport.get_extra_info('socket')
         if sock is not None:
             set_dead_peer_timeout(sock, self.pool.dead_peer_timeout_ms)
@@ -258,16 +259,6 @@
         """Memory that the answer takes, or the next step of an unknown length."""
         return self._length_bytes or len(self._body) + STEP_BYTES
 
-    def pause_reading(self) -> None:
-        """Stop reading."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def read_on(self) -> None:
-        """Read again."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
         reading = max(len(self._body), self._room.reserved_bytes)
--- a/cowsliploom/dataplane/_frames.py
+++ b/cowsliploom/dataplane/_frames.py
@@ -70,6 +70,7 @@
         """Set the socket options of the new connection."""
         self.was_made = True
         self._transport = cast(asyncio.Transport, transport)
+        self._room.transport = self._transport
         sock = transport.get_extra_info('socket')
         if sock is not None:
             set_dead_peer_timeout(sock)
@@ -157,16 +158,6 @@
         """Memory that the frame takes once it is complete."""
         return LENGTH_BYTES + int.from_bytes(self._buffer[:LENGTH_BYTES])
 
-    def pause_reading(self) -> None:
-        """Stop reading."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def read_on(self) -> None:
-        """Read again."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
--- a/cowsliploom/dataplane/_read_room.py
+++ b/cowsliploom/dataplane/_read_room.py
@@ -1,5 +1,7 @@
 """Room for what one connection reads, for which it waits."""
 
+import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from cowsliploom.dataplane._admission import Admission
@@ -7,7 +9,7 @@
 
 
 class Source(Protocol):
-    """Connection whose reading is paused and resumed."""
+    """Connection that reads requests, answers or frames."""
 
     @property
     def incomplete_bytes(self) -> int:
@@ -19,14 +21,6 @@
         """Memory that it takes once it is complete, as far as that is known."""
         ...
 
-    def pause_reading(self) -> None:
-        """Stop reading."""
-        ...
-
-    def read_on(self) -> None:
-        """Read again."""
-        ...
-
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
         ...
@@ -54,6 +48,10 @@
     ----------
     reserved_bytes : int
         Room that was reserved for what is being read.
+    transport : asyncio.Transport or None
+        Transport of the connection while it is open.
+    on_room : callable
+        Called when there is room again. Default is to read on.
     """
 
     def __init__(
@@ -65,6 +63,8 @@
     ) -> None:
         self.is_work = is_work
         self.reserved_bytes = 0
+        self.transport: asyncio.Transport | None = None
+        self.on_room: Callable[[], None] = self.resume
         self._source = source
         self._admission = admission
         self._has_priority = has_priority
@@ -81,15 +81,25 @@
         """Take room for what is read next, or pause; return whether there was room."""
         if self.take():
             return True
-        self._source.pause_reading()
+        self.pause()
         self._admission.wait(self)
         return False
 
+    def pause(self) -> None:
+        """Stop reading."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def try_resume(self) -> bool:
         """Read on if there is room now."""
         if not self.take():
             return False
-        self._source.read_on()
+        self.on_room()
         return True
 
     def take(self) -> bool:
@@ -110,8 +120,9 @@
         self.reserved_bytes = 0
 
     def close(self) -> None:
-        """Return the room and wait no more."""
+        """Return the room and wait no more, as the connection is closed."""
         self.reserved_bytes = 0
+        self.transport = None
         self._admission.forget(self)
 
     def _admits(self, wanted_bytes: int, held_bytes: int) -> bool:
--- a/cowsliploom/dataplane/_request_intake.py
+++ b/cowsliploom/dataplane/_request_intake.py
@@ -18,14 +18,6 @@
 class ReadingConnection(RequestEvents, Protocol):
     """Connection that the requests arrive on."""
 
-    def pause_reading(self) -> None:
-        """Stop reading."""
-        ...
-
-    def resume_reading(self) -> None:
-        """Read again."""
-        ...
-
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
         ...
@@ -45,6 +37,11 @@
         Returns the limits in force.
     admission : Admission
         Account of the process.
+
+    Attributes
+    ----------
+    room : ReadRoom
+        Room for the request that is being read.
     """
 
     def __init__(
@@ -55,7 +52,8 @@
     ) -> None:
         self.reader = RequestReader(connection, limits)
         self._connection = connection
-        self._room = ReadRoom(self, admission, is_work=False)
+        self.room = ReadRoom(self, admission, is_work=False)
+        self.room.on_room = self.read_on
         self._unparsed = b''
         self._queued: deque[HttpRequest] = deque()
         self._queued_bytes = 0
@@ -72,7 +70,7 @@
     @property
     def held_bytes(self) -> int:
         """Memory that all requests take that are not being answered."""
-        reading = max(self.incomplete_bytes, self._room.reserved_bytes)
+        reading = max(self.incomplete_bytes, self.room.reserved_bytes)
         return self._queued_bytes + reading
 
     @property
@@ -91,9 +89,9 @@
         self._unparsed = bytes(chunk[parsed:])
         self._connection.note_held()
         if self._connection.is_blocked:
-            self._connection.pause_reading()
+            self.room.pause()
         else:
-            self._room.pause_unless_admitted()
+            self.room.pause_unless_admitted()
 
     def read_on(self) -> None:
         """Parse what was kept and read on, unless something blocks it."""
@@ -102,14 +100,10 @@
         if self._unparsed:
             kept = memoryview(self._unparsed)
             self._unparsed = b''
-            self._connection.resume_reading()
+            self.room.resume()
             self.receive(kept)
-        elif self._room.pause_unless_admitted():
-            self._connection.resume_reading()
-
-    def pause_reading(self) -> None:
-        """Stop reading."""
-        self._connection.pause_reading()
+        elif self.room.pause_unless_admitted():
+            self.room.resume()
 
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
@@ -117,7 +111,7 @@
 
     def append(self, request: HttpRequest) -> None:
         """Queue a complete request."""
-        self._room.release()
+        self.room.release()
         self._queued.append(request)
         self._queued_bytes += _weight(request)
 
@@ -131,14 +125,14 @@
         """Discard the request that is being read, and all further bytes."""
         self.reader.end()
         self._unparsed = b''
-        self._room.release()
+        self.room.release()
 
     def close(self) -> None:
         """Discard all requests."""
         self.reject()
         self._queued.clear()
         self._queued_bytes = 0
-        self._room.close()
+        self.room.close()
 
 
 def _weight(request: HttpRequest) -> int:
--- a/cowsliploom/dataplane/_server_connection.py
+++ b/cowsliploom/dataplane/_server_connection.py
@@ -104,6 +104,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options and register the connection."""
         self.transport = cast(asyncio.Transport, transport)
+        self._intake.room.transport = self.transport
         sock = transport.get_extra_info('socket')
         if sock is not None:
             set_dead_peer_timeout(sock)
@@ -136,7 +137,7 @@
     def pause_writing(self) -> None:
         """Handle no further request while the caller does not read the answers."""
         self._is_write_paused = True
-        self.pause_reading()
+        self._intake.room.pause()
 
     def resume_writing(self) -> None:
         """Go on with the queued requests."""
@@ -226,16 +227,6 @@
         if self.transport is not None and chunk:
             self.transport.write(chunk)
 
-    def pause_reading(self) -> None:
-        """Stop reading."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read again."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
     def close(self) -> None:
         """Close after the written bytes are sent, if they are read in time."""
         if self.transport is not None:
