Fail a call at the end of a head with too many headers

An answer without a body was taken although its 513th header, its length, had not been stored: the count was looked at after the answer was complete.

--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -97,7 +97,7 @@
         self._is_head_complete = False
         self._has_framing = False
         self._has_watched_header = False
-        self._is_status_odd = False
+        self._head_fault = ''
         self._stale_answers = 0
         self._completed: _CompletedCall | None = None
         self._has_trailing_bytes = False
@@ -186,8 +186,12 @@
     def on_headers_complete(self) -> None:
         """Count the following bytes as body, unless this was an interim answer."""
         status = self._parser.get_status_code()
-        self._is_status_odd = status not in STATUSES
-        if self._is_status_odd:
+        self._head_fault = ''
+        if status not in STATUSES:
+            self._head_fault = f'status {status}'
+        elif len(self._headers) > HEADERS_MAX:
+            self._head_fault = f'over {HEADERS_MAX} headers'
+        if self._head_fault:
             return
         self._is_head_complete = status >= FINAL_STATUS_MIN
         if self._has_watched_header:
@@ -209,7 +213,7 @@
     def on_message_complete(self) -> None:
         """Complete the answer, unless it is an interim one."""
         status = self._parser.get_status_code()
-        is_final = status >= FINAL_STATUS_MIN and not self._is_status_odd
+        is_final = status >= FINAL_STATUS_MIN and not self._head_fault
         if self._completed is None and is_final:
             self._complete(keep=self._parser.should_keep_alive())
 
@@ -286,14 +290,9 @@
             if self._completed is None:
                 self._fail(CallStep.DECODE, repr(error))
             self._has_trailing_bytes = True
-        if self._is_status_odd and self._completed is None:
-            status = self._parser.get_status_code()
-            self._fail(CallStep.DECODE, f'status {status} from {self.pool.address}')
-        exceeded = self._meter.exceeded
-        if self._is_head_complete and len(self._headers) > HEADERS_MAX:
-            exceeded = f'over {HEADERS_MAX} headers'
-        if exceeded and self._completed is None:
-            self._fail(CallStep.DECODE, f'{exceeded} from {self.pool.address}')
+        fault = self._head_fault or self._meter.exceeded
+        if fault and self._completed is None:
+            self._fail(CallStep.DECODE, f'{fault} from {self.pool.address}')
 
     def _complete(self, keep: bool) -> None:
         self._is_head_complete = False
