Leave half of the descriptors for calls to a relay's own callers

Cause: shares have their requester's timeout, here 60 s, and held all descriptors for calls; since a call without one ends its sub-request at once.

A share is refused, reported as not run, if the shards of the shares that run would need more than half of them.

--- a/cowsliploom/gateway/_relays.py
+++ b/cowsliploom/gateway/_relays.py
@@ -9,6 +9,7 @@
     Admission,
     FrameConnection,
     FrameListener,
+    Use,
     exchange_weight,
     open_frame_connection,
 )
@@ -41,6 +42,7 @@
 )
 
 OK = 200
+CALLS_SHARE = 0.5  # of the descriptors for calls; the rest is for own callers
 
 
 class RequestedShare:
@@ -249,7 +251,8 @@
             request.body,
             request.records_max,
         )
-        self._weight = exchange_weight(len(request.shards)) + len(request.body)
+        self.shards = len(request.shards)
+        self._weight = exchange_weight(self.shards) + len(request.body)
         self._share = share
         self._share_id = request.share_id
         self._send_frame = send
@@ -366,13 +369,26 @@
             partial(_send_frame, connection),
             partial(self._remove, key),
         )
-        if not runner.admit():
+        if not (self._has_descriptors(len(frame.shards)) and runner.admit()):
             refusal = ShareReport(frame.share_id, _not_run(frame.shards))
             _send_frame(connection, refusal)
             return
         self._runners[key] = runner
         runner.start()
 
+    def _has_descriptors(self, calls: int) -> bool:
+        """Return whether the calls of one more share leave enough descriptors.
+
+        Their timeout is the requester's, so shares could hold all of them for long.
+        """
+        limits = self.pools.admission.room.limits
+        calls_max = CALLS_SHARE * limits.descriptors_of(Use.CALLS)
+        open_calls = sum(runner.shards for runner in self._runners.values())
+        if open_calls + calls <= calls_max:
+            return True
+        self.pools.admission.refused += 1
+        return False
+
     def _remove(self, key: tuple[FrameConnection, int]) -> None:
         self._runners.pop(key, None)
 
