Forget no waiter that waits again when it goes on

Suspected from reading, not seen: whoever paused again while it was resumed was still listed, so its new wait was ignored, and then it was taken off the list. It is now taken off before it goes on; the new test waits three times.

--- a/cowsliploom/dataplane/_acceptor.py
+++ b/cowsliploom/dataplane/_acceptor.py
@@ -66,16 +66,17 @@
             self._socket.close()
             self._socket = None
 
-    def try_resume(self) -> bool:
-        """Accept connections again if there is room."""
-        if self._socket is None:
-            return True
-        if self._has_room:
-            self._listen()
+    def take(self) -> bool:
+        """Return whether there is room; if there is none, ask for some."""
+        if self._socket is None or self._has_room:
             return True
         self._make_room()
         return False
 
+    def on_room(self) -> None:
+        """Accept connections again."""
+        self._listen()
+
     @property
     def _has_room(self) -> bool:
         room = self._admission.room
--- a/cowsliploom/dataplane/_admission.py
+++ b/cowsliploom/dataplane/_admission.py
@@ -37,8 +37,12 @@
         """Bytes that it waits for."""
         ...
 
-    def try_resume(self) -> bool:
-        """Go on if there is room now; return whether it did."""
+    def take(self) -> bool:
+        """Take the room that it waits for; False if there is none."""
+        ...
+
+    def on_room(self) -> None:
+        """Go on, as there is room; it may wait again."""
         ...
 
 
@@ -152,9 +156,10 @@
         for waiter in tuple(self._waiters):
             if free_bytes < 0:
                 return
-            if waiter in self._waiters and waiter.try_resume():
-                self._waiters.pop(waiter, None)
+            if waiter in self._waiters and waiter.take():
+                self._waiters.pop(waiter)
                 free_bytes -= waiter.wanted_bytes
+                waiter.on_room()
 
     def _watch_overdue(self) -> None:
         if self._overdue_timer is None and self._waiters:
--- a/cowsliploom/dataplane/_read_room.py
+++ b/cowsliploom/dataplane/_read_room.py
@@ -43,6 +43,8 @@
         sends.
     has_priority : bool
         Whether it is read also when room is short. Default False.
+    on_room : callable or None
+        Called when there is room again. Default is to read on.
 
     Attributes
     ----------
@@ -50,8 +52,6 @@
         Room that was reserved for what is being read.
     transport : asyncio.Transport or None
         Transport of the connection while it is open.
-    on_room : callable
-        Called when there is room again. Default is to read on.
     """
 
     def __init__(
@@ -60,11 +60,12 @@
         admission: Admission,
         is_work: bool,
         has_priority: bool = False,
+        on_room: Callable[[], None] | None = None,
     ) -> None:
         self.is_work = is_work
         self.reserved_bytes = 0
         self.transport: asyncio.Transport | None = None
-        self.on_room: Callable[[], None] = self.resume
+        self._on_room: Callable[[], None] | None = on_room
         self._source = source
         self._admission = admission
         self._has_priority = has_priority
@@ -95,12 +96,12 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def try_resume(self) -> bool:
-        """Read on if there is room now."""
-        if not self.take():
-            return False
-        self.on_room()
-        return True
+    def on_room(self) -> None:
+        """Go on after a wait."""
+        if self._on_room is None:
+            self.resume()
+        else:
+            self._on_room()
 
     def take(self) -> bool:
         """Take room for what is read next; False if there is none."""
--- a/cowsliploom/dataplane/_request_intake.py
+++ b/cowsliploom/dataplane/_request_intake.py
@@ -52,8 +52,7 @@
     ) -> None:
         self.reader = RequestReader(connection, limits)
         self._connection = connection
-        self.room = ReadRoom(self, admission, is_work=False)
-        self.room.on_room = self.read_on
+        self.room = ReadRoom(self, admission, is_work=False, on_room=self.read_on)
         self._unparsed = b''
         self._queued: deque[HttpRequest] = deque()
         self._queued_bytes = 0
--- a/cowsliploom/dataplane/tests/test_admission.py
+++ b/cowsliploom/dataplane/tests/test_admission.py
@@ -221,3 +221,38 @@
         pool.close()
 
     run_in_room(NO_LIMIT, script, descriptors_max=10)
+
+
+class Waiter:
+    """Waiter that needs room several times, one after the other."""
+
+    is_work = False
+    wanted_bytes = 10 * KB
+
+    def __init__(self, admission, times):
+        self.admission = admission
+        self.times = times
+
+    def take(self):
+        """Return whether there is room."""
+        return self.admission.room.admits(self.wanted_bytes)
+
+    def on_room(self):
+        """Wait once more, unless it was often enough."""
+        self.times -= 1
+        if self.times:
+            self.admission.wait(self)
+
+
+def test_one_that_waits_again_when_it_goes_on_is_not_forgotten():
+    async def script(_listener, admission):
+        waiter = Waiter(admission, times=3)
+        admission.charge('other work', 600 * KB)
+        admission.wait(waiter)
+        await asyncio.sleep(0.02)
+        assert (waiter.times, admission.waiting) == (3, 1)
+        admission.charge('other work', 0)
+        await until(lambda: not waiter.times)
+        assert not admission.waiting
+
+    run_in_room(600 * KB, script)
