--- a/cowsliploom/dataplane/_acceptor.py
+++ b/cowsliploom/dataplane/_acceptor.py
@@ -104,6 +104,7 @@
         except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return False
         except OSError:
+            self._admission.refused += 1
             self._loop.remove_reader(self._socket)
             self._loop.call_later(RETRY_S, self._listen)
             return False
--- a/cowsliploom/dataplane/_admission.py
+++ b/cowsliploom/dataplane/_admission.py
@@ -67,7 +67,8 @@
     pauses : int
         Number of times that a connection or a call had to wait for room.
     refused : int
-        Number of requests, shares and calls that were refused for lack of room.
+        Number of requests, shares and calls that were refused for lack of room, and of
+        connections that the system did not let the process accept.
     on_shortage : list of callable
         Called when no descriptor is left for a call, to close idle connections.
     """
