Complete a move only after all live VMs have judged its full share

What callers saw: the controller of a version move froze for 2 to 3.5 s while the share was 0.02 to 0.1. Awake, it took the overdue steps half a second apart and wrote `completed` half a second after share 1.0, before anybody had a bad answer to judge. The old servers were stopped, and 1,000 and more requests went to the bad version.

Cause: a step was due by the clock alone. After any delay the last steps were as short as step_min_ms, and what had been proven at a small share counted for the full one.

Change: completion is decided by evidence of the full share. Each VM measures for how long it ran at that share (time that it missed does not count), waits for the calls that it sent first, and reports it with the evidence itself. The controller finishes only when the latest report of every live VM is recent, came after its own last pause, and was tested. A VM that knows of a veto reports no more. The end up to which an unproven version is held moves with a late step.

--- a/cowsliploom/gateway/_version_moves.py
+++ b/cowsliploom/gateway/_version_moves.py
@@ -12,6 +12,7 @@
 from cowsliploom.forwarding import CompletedCall, VersionSplit
 from cowsliploom.gateway._active_order import ActiveOrder, decode_state
 from cowsliploom.gateway._background import BackgroundTasks
+from cowsliploom.gateway._bake_log import BakeLog
 from cowsliploom.gateway._controller_role import ControllerRole
 from cowsliploom.gateway._evidence_log import EvidenceLog
 from cowsliploom.gateway._line_log import LineLog
@@ -25,6 +26,7 @@
 from cowsliploom.rollout import (
     AnnounceFact,
     CandidateChanged,
+    FleetView,
     Move,
     MoveState,
     MoveStatus,
@@ -75,6 +77,7 @@
         self._vetoes = StoredVetoes(store, store_view.mirror, log)
         self._role = ControllerRole(peers, log)
         self._evidence_log = EvidenceLog(self._rollout, log)
+        self._bake_log = BakeLog(self._rollout, log)
         self._log = log
         self._active_orders: dict[str, ActiveOrder] = {}
         self._ended_services: set[str] = set()
@@ -100,8 +103,11 @@
         self._perform(self._rollout.step_controller(is_controller))
         if self._role.is_held:
             self._confirm_ended()
-        self._perform(self._rollout.tick(now_ms, time.time() * MS_PER_S))
+        view = _fleet_view(self._peers, self._store_view, self._running)
+        self._perform(self._rollout.tick(now_ms, time.time() * MS_PER_S, view))
         self._evidence_log.write(self._running, self._role.is_judge(), now_ms)
+        if self._role.is_held:
+            self._bake_log.write(self._running, now_ms)
 
     def _exchange_vetoes(self) -> None:
         """Apply vetoes that the store has, and write those that it lacks."""
@@ -303,3 +309,21 @@
         (veto.service, veto.to_version) == (service, state.to_version)
         for veto in vetoes
     )
+
+
+def _fleet_view(
+    peers: Peers, store_view: StoreView, moves: Iterable[Move]
+) -> FleetView:
+    """Return the live members, and the open calls of the new versions."""
+    members = (peers.known.own.name, *(member.name for member in peers.others()))
+    fleet = store_view.dispatcher.fleet
+    open_calls_ms = {
+        move.service: tuple(
+            sent_ms
+            for server in fleet.serving(move.service)
+            if server.record.version == move.to_version
+            for sent_ms in server.open_calls.values()
+        )
+        for move in moves
+    }
+    return FleetView(frozenset(members), open_calls_ms)
--- a/cowsliploom/rollout/__init__.py
+++ b/cowsliploom/rollout/__init__.py
@@ -1,5 +1,7 @@
 """Version moves: share schedule, evidence, judgement, control and roll-back."""
 
+from cowsliploom.rollout._bake import BAKE_MS as BAKE_MS
+from cowsliploom.rollout._bake import FleetView as FleetView
 from cowsliploom.rollout._cautious import cautious_rollout as cautious_rollout
 from cowsliploom.rollout._control_messages import CallLease as CallLease
 from cowsliploom.rollout._control_messages import CandidateChanged as CandidateChanged
--- a/cowsliploom/rollout/_control_messages.py
+++ b/cowsliploom/rollout/_control_messages.py
@@ -74,6 +74,9 @@
         Calls of each move's service counted so far, by move.
     baseline_ms : mapping of str to mapping
         Baseline latency of the old version on each route, by move.
+    baked_ms : mapping of str to float
+        Since when all live daemons have judged the full share, by move; minus infinity
+        if one has not.
     """
 
     now_ms: float
@@ -83,6 +86,7 @@
     unproven: frozenset[str] = frozenset()
     requests: Mapping[str, int] = field(default_factory=dict)
     baseline_ms: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
+    baked_ms: Mapping[str, float] = field(default_factory=dict)
 
 
 ControllerEvent = (
--- a/cowsliploom/rollout/_controller.py
+++ b/cowsliploom/rollout/_controller.py
@@ -20,6 +20,7 @@
     StateSwapped,
     SwapState,
 )
+from cowsliploom.rollout._holds import is_share_held, lacks_bake
 from cowsliploom.rollout._judge import MovesDeclared, VetoReceived
 from cowsliploom.rollout._leadership import AssignedLeadership, LeaseLeadership
 from cowsliploom.rollout._moves import (
@@ -49,8 +50,6 @@
 MISSED_TIME_MS = 1000  # a longer gap between ticks may hide vetoes of others
 STALE_SPEC_MS = 10_000  # configurations are in force everywhere sooner than this
 VETOES_MAX = 256  # vetoes kept, also of moves not yet declared
-UNPROVEN_END = 1.25  # of the time given; no version is held for longer as unproven
-CONCLUSIVE_CALLS = 30  # enough for a conclusive test; a bad version may get more
 NOT_COUNTED = -1  # a new controller counts samples from its first tick on
 NO_STATE = MoveState(0, '', MoveStatus.RUNNING, 0, 0, 0, 0, 0)
 
@@ -68,6 +67,7 @@
     samples_at_step: int = NOT_COUNTED
     traffic: Traffic = Traffic()
     settled_ms: float = -math.inf
+    restarted_ms: float = -math.inf
 
 
 class Controller:
@@ -178,6 +178,7 @@
                     samples_at_step=NOT_COUNTED,
                     traffic=Traffic(),
                     settled_ms=now_ms + self._schedule.settle_ms,
+                    restarted_ms=now_ms,
                 )
                 self._track(restarted)
 
@@ -329,40 +330,21 @@
         given_ms = move.finish_by_ms - state.started_ms
         exposed = exposed_requests(state, store_ms, given_ms)
         state = replace(state, exposed=max(exposed, tick.samples.get(move.name, 0)))
-        if self._holds_share(move, state, tick, store_ms):
+        if is_share_held(move, state, tick, self._schedule, store_ms):
             if move.name not in tick.suspects:
                 return None
             return rolled_back_in_doubt(move, state, self._schedule, store_ms)
-        if now_ms < tracked.settled_ms:
+        if now_ms < tracked.settled_ms or not is_step_due(
+            progress, store_ms, self._schedule
+        ):
             return None
-        if is_step_due(progress, store_ms, self._schedule):
-            state = replace(state, updated_ms=store_ms)
-            requests = tracked.traffic.expected_requests(now_ms, given_ms)
-            if requests is not None:
-                state = replace(state, requests=requests)
-            return next_step(state, self._schedule)
-        return None
-
-    def _holds_share(
-        self, move: Move, state: MoveState, tick: ControllerTick, store_ms: float
-    ) -> bool:
-        """Return whether an inconclusive test holds the share.
-
-        With few calls the share still grows short of all traffic, as more calls are
-        needed for a conclusive test.
-        """
-        following = next_step(state, self._schedule)
-        held_until_ms = state.started_ms + UNPROVEN_END * (
-            move.finish_by_ms - state.started_ms
-        )
-        is_unproven = move.name in tick.unproven and store_ms < held_until_ms
-        if is_unproven and following.status is MoveStatus.FINISHED:
-            return True
-        if move.name not in tick.inconclusive:
-            return False
-        has_enough_calls = tick.samples.get(move.name, 0) >= CONCLUSIVE_CALLS
-        reaches_all_traffic = following.share >= 1
-        return has_enough_calls or reaches_all_traffic or move.name in tick.suspects
+        if lacks_bake(move, state, tick, self._schedule, tracked.restarted_ms):
+            return None
+        state = replace(state, updated_ms=store_ms)
+        requests = tracked.traffic.expected_requests(now_ms, given_ms)
+        if requests is not None:
+            state = replace(state, requests=requests)
+        return next_step(state, self._schedule)
 
     def _rolled_back(self, move: Move, state: MoveState) -> MoveState | None:
         veto = self._vetoes.get((move.name, move.to_version, move.generation))
--- a/cowsliploom/rollout/_evidence.py
+++ b/cowsliploom/rollout/_evidence.py
@@ -38,6 +38,9 @@
         Counts, which never decrease.
     usual : mapping of str to BaselineLatency
         Latency of the old version's first calls on each route.
+    is_baked : bool
+        Whether the daemon has judged the full share for long enough and knows of no
+        veto. Default False.
     """
 
     daemon: str
@@ -47,6 +50,7 @@
     generation: int
     rows: Mapping[RowKey, Counts]
     usual: Mapping[str, BaselineLatency] = field(default_factory=dict)
+    is_baked: bool = False
 
 
 _WireRow = tuple[str, str, int, int, int, int, int, int, int, int, int, int]
@@ -61,6 +65,7 @@
     generation: int
     rows: tuple[_WireRow, ...]
     usual: dict[str, tuple[float, int]]
+    is_baked: bool = False
 
 
 class EvidenceError(ValueError):
@@ -84,6 +89,7 @@
         generation=evidence.generation,
         rows=rows,
         usual={route: (baseline.p95_ms, baseline.calls) for route, baseline in usual},
+        is_baked=evidence.is_baked,
     )
     return msgspec.msgpack.encode(wire)
 
@@ -112,6 +118,7 @@
             for route, baseline in wire.usual.items()
             if _is_valid(*baseline)
         },
+        is_baked=wire.is_baked,
     )
 
 
--- a/cowsliploom/rollout/_rollout.py
+++ b/cowsliploom/rollout/_rollout.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cowsliploom.protocol import decode_json
+from cowsliploom.rollout._bake import ALONE, FleetView
 from cowsliploom.rollout._control_messages import (
     ControllerCommand,
     ControllerEvent,
@@ -80,6 +81,7 @@
         self._moves: tuple[Move, ...] = ()
         self._shares: tuple[VersionShare, ...] | None = None
         self._unreadable_facts = 0
+        self._members: frozenset[str] = frozenset((daemon,))
 
     def declare(
         self, now_ms: float, moves: tuple[Move, ...], entries: int
@@ -116,10 +118,23 @@
         commands = self._controller.step(event)
         return (*commands, *self._changed_shares(event.now_ms))
 
-    def tick(self, now_ms: float, wall_ms: float) -> tuple[RolloutCommand, ...]:
-        """Advance the time; call at least every 250 ms while a move is declared."""
+    def tick(
+        self, now_ms: float, wall_ms: float, view: FleetView = ALONE
+    ) -> tuple[RolloutCommand, ...]:
+        """Advance the time; call at least every 250 ms while a move is declared.
+
+        Parameters
+        ----------
+        now_ms, wall_ms : float
+            Monotonic time, and time since the epoch.
+        view : FleetView
+            Live daemons and open calls. Default no other daemon, and none.
+        """
+        self._members = view.members or frozenset((self._judge.daemon,))
         commands: list[RolloutCommand] = []
-        for command in self._judge.step(JudgeTick(now_ms, wall_ms)):
+        shares_in_force = {each.service: each.share for each in self._shares or ()}
+        tick = JudgeTick(now_ms, wall_ms, shares_in_force, view.open_calls_ms)
+        for command in self._judge.step(tick):
             if isinstance(command, Veto):
                 self._controller.step(VetoReceived(now_ms, command))
                 commands.append(veto_fact(command))
@@ -140,8 +155,16 @@
             unproven=self._judge.unproven(),
             requests=self._by_move(self._judge.requests),
             baseline_ms=self._by_move(self._judge.baseline_ms),
+            baked_ms={
+                move.name: self._judge.baked_ms(move.name, self._members, now_ms)
+                for move in self._moves
+            },
         )
 
+    def unbaked(self, move: str, now_ms: float) -> tuple[str, ...]:
+        """Return the live daemons that have not judged the full share of a move."""
+        return self._judge.unbaked(move, self._members, now_ms)
+
     def strongest_finding(self, move: str) -> Finding | None:
         """Return the finding on a move with the most evidence so far, if any."""
         return self._judge.strongest_finding(move)
--- a/cowsliploom/rollout/_schedule.py
+++ b/cowsliploom/rollout/_schedule.py
@@ -87,6 +87,9 @@
         Whether each step has a fixed time within the time given. After a delay only the
         overdue steps are then short. Otherwise all remaining steps are, also the last
         ones, which give the most evidence. Default False.
+    bakes_full_share : bool
+        Whether a move finishes only after all live daemons have judged the full share
+        for the bake time. Default False.
     """
 
     shares: tuple[float, ...] = SHARES
@@ -97,6 +100,7 @@
     exposure: ExposureLimit | None = None
     settle_ms: float = 0
     fixed_step_times: bool = False
+    bakes_full_share: bool = False
 
     def share(self, step: int, requests: float, exposed: float = 0) -> float:
         """Return the share of a step.
@@ -153,6 +157,7 @@
     step_min_ms=500,
     settle_ms=1000,
     fixed_step_times=True,
+    bakes_full_share=True,
     low_traffic=LowTraffic(
         1000, (0.02, 0.03, 0.03, 0.05, 0.05, 0.05, 0.2, 0.3, 1.0, 1.0)
     ),
