Let the VM that raised a veto write it to the store until it is there

Cause: the VM that found a version bad wrote its veto once; later attempts were the judges' alone, who may be frozen, cut off from the store or refused by it. Until one of them returned, no write of a controller that had not heard the veto was refused.

Change: the VM that raised the veto repeats its write, once a second, until it sees it in the store.

Evidence: the new test fails before, the veto is not in the store after 1.2 s without judges.

--- a/cowsliploom/gateway/_version_moves.py
+++ b/cowsliploom/gateway/_version_moves.py
@@ -81,6 +81,7 @@
         self._log = log
         self._active_orders: dict[str, ActiveOrder] = {}
         self._ended_services: set[str] = set()
+        self._raised: dict[str, Veto] = {}
         self._confirming: set[str] = set()
         self._running: tuple[Move, ...] = ()
         self._entry_count = 0
@@ -110,17 +111,21 @@
             self._bake_log.write(self._running, now_ms)
 
     def _exchange_vetoes(self) -> None:
-        """Apply vetoes that the store has, and write those that it lacks."""
+        """Apply vetoes that the store has, and write those that it lacks.
+
+        The judges do, and the VM that raised a veto, as the judges may be frozen.
+        """
         now_ms = self._peers.now_ms()
         for service in self._active_orders:
             stored = self._vetoes.read(service)
             if stored is not None:
                 fact = veto_fact(stored)
                 self._receive_fact(Fact(fact.key, fact.generation, fact.blob))
-        if self._role.is_judge():
-            for veto in self._rollout.vetoes():
-                if veto.service in self._active_orders:
-                    self._vetoes.record(veto, now_ms)
+        is_judge = self._role.is_judge()
+        for veto in self._rollout.vetoes():
+            is_raised_here = self._raised.get(veto.service) == veto
+            if veto.service in self._active_orders and (is_judge or is_raised_here):
+                self._vetoes.record(veto, now_ms)
 
     def _update_orders(self) -> None:
         orders = self._store_view.orders
@@ -138,6 +143,7 @@
     def _forget(self, service: str) -> None:
         """Remove all data on a move request that has ended."""
         self._active_orders.pop(service, None)
+        self._raised.pop(service, None)
         self._state_revisions.pop(service, None)
         self._ended_services.discard(service)
 
@@ -272,6 +278,7 @@
                 reason=veto.reason.value,
                 evidence=veto.evidence,
             )
+            self._raised[veto.service] = veto
             self._peers.broadcast_fact(fact)
             self._vetoes.record(veto, self._peers.now_ms())
         elif announced.key.startswith('evidence/'):
--- a/cowsliploom/gateway/tests/test_stored_vetoes.py
+++ b/cowsliploom/gateway/tests/test_stored_vetoes.py
@@ -18,7 +18,14 @@
 from cowsliploom.gateway.tests.test_move_tracker import chosen, order
 from cowsliploom.gateway.tests.test_store_view import STORE, RecordingLog, server
 from cowsliploom.gateway.tests.test_update_propagation import ManualClock
-from cowsliploom.members import Batch, Member, MembershipTable, MirrorItem, StoreMirror
+from cowsliploom.members import (
+    Batch,
+    LivenessRecord,
+    Member,
+    MembershipTable,
+    MirrorItem,
+    StoreMirror,
+)
 from cowsliploom.ports import Conflict, Swapped
 from cowsliploom.rollout import (
     DefectKind,
@@ -151,3 +158,44 @@
         assert 'vetoes/s' in store.items
 
     asyncio.run(scenario())
+
+
+def raise_veto(moves):
+    """Let a VM find the version bad."""
+    moves._rollout.handle_fact(0, *_as_parts(veto_fact(VETO)))
+    moves._perform((veto_fact(VETO),))
+
+
+def _as_parts(fact):
+    return fact.key, fact.generation, fact.blob
+
+
+def test_veto_is_written_again_by_the_vm_that_raised_it_if_no_judge_does():
+    """A lost write left the veto out of the store while the judges were frozen."""
+
+    async def scenario():
+        clock, log = ManualClock(), RecordingLog()
+        moves, store_view, store = make_moves(clock, log)
+        moves.tick()
+        others = [Member(name, f'{name}:1', 'de') for name in ('b', 'c', 'd', 'e')]
+        known = moves._peers.known
+        while moves._role.is_judge():
+            known.record((LivenessRecord(others.pop(), 0),), clock.now_ms)
+        write = store.write
+        store.write = unanswered
+        raise_veto(moves)
+        await settled()
+        store.write = write
+        for _ in range(12):
+            clock.now_ms += 100
+            moves.tick()
+            await settled()
+        assert not moves._role.is_judge()
+        assert 'vetoes/s' in store.items
+
+    asyncio.run(scenario())
+
+
+async def unanswered(expected, writes, timeout_ms):
+    """Stand in for a write whose answer is lost before it was done."""
+    return platform.StoreUnanswered('store.write', 'store', 'no answer in time')
