Keep removed registrations only after an outage of the store itself

What callers saw: each VM that woke from a freeze of 1.2 to 3.5 s told all others of an outage of the store of 59 to 127 ms. They held removed registrations for 2.3 s more, and a VM that heard of a removal only then used the servers for so much longer; what these still ran as they ended was lost.

Cause: a call of the woken VM's own timed out, and nothing asked whether it had run meanwhile, nor for how long the store was away. Peers compared the claim only with the newest answer of the store that they knew, which lies before so short a gap, and after the end of a long one.

Change: an outage counts if it lasted at least two of the three heartbeats after which a registration expires, counted from the last answer that anyone had; a VM counts only the time since it has run without a pause, and only if it heard another member meanwhile; each VM compares a claim with all answers of the last minute that it has heard of. heartbeatMs is read from the settings.

--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -78,6 +78,7 @@
             self.settings.budget, self._seed, self.settings.data_centre, self._owns
         )
         self._store_view = StoreView(self._dispatcher, self.log, self.settings.apply_ms)
+        self._store_view.expiry_hold.heartbeat_ms = self.settings.heartbeat_ms
         self._pools = ServerPools(self._dispatcher, self._admission)
         self._pools.report_error = self._record_request_error
         self._relays = Relays(self._pools, self.settings.relays_address, self.log)
@@ -226,6 +227,7 @@
             due_ms = self._now_ms() + SWEEP_INTERVAL_MS
             await asyncio.sleep(SWEEP_INTERVAL_MS / MS_PER_S)
             self._record_lateness(self._now_ms() - due_ms)
+            self._watch.pauses.tick()
             suspended_ms = suspension.suspended_ms()
             if suspended_ms:
                 self._resume(suspended_ms)
@@ -249,6 +251,7 @@
         self.log.write('daemon', 'resumed', missed_ms=round(suspended_ms))
         self._store_view.add_age(suspended_ms)
         self._peers.watcher_liveness.add_age(suspended_ms)
+        self._watch.pauses.restart()
         self._pools.close_idle()
         self._peers.resume()
 
@@ -276,6 +279,7 @@
         self._peers.known.seeds = settings.seeds
         self._peers.watcher_liveness.apply_ms = settings.apply_ms
         self._store_view.apply_ms = settings.apply_ms
+        self._store_view.expiry_hold.heartbeat_ms = settings.heartbeat_ms
         self._dispatcher.budgets.change(settings.budget)
         self._dispatcher.access.rules = settings.access
         self.settings = settings
--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -12,7 +12,7 @@
     ServerHealthChange,
     ServerRecord,
 )
-from cowsliploom.gateway._expiry_hold import ExpiryHold, StoreOutage
+from cowsliploom.gateway._expiry_hold import NEVER_MS, ExpiryHold, StoreOutage
 from cowsliploom.gateway._line_log import LineLog
 from cowsliploom.gateway._move_tracker import MoveTracker
 from cowsliploom.gateway._peer_wire import UNKNOWN_AGE_MS
@@ -109,7 +109,9 @@
             self.confirmed_age_ms(now_ms),
         )
 
-    def note_outage(self, outage: StoreOutage, source: str) -> None:
+    def note_outage(
+        self, outage: StoreOutage, source: str, running_since_ms: float = NEVER_MS
+    ) -> None:
         """Record an outage of the store that has ended.
 
         Parameters
@@ -118,8 +120,10 @@
             The outage.
         source : str
             ``'store'`` if noticed here, or the name of the peer that noticed it.
+        running_since_ms : float
+            Since when this VM has run without a pause, if it noticed the outage itself.
         """
-        if self.expiry_hold.note(outage, self._confirmed_ms):
+        if self.expiry_hold.note(outage, running_since_ms):
             self.log.write(
                 'store',
                 'outage ended',
@@ -171,8 +175,9 @@
         A source at a higher revision than this VM does not confirm the contents here.
         """
         self.heard_revision = max(self.heard_revision, revision)
+        confirmed_ms = now_ms - provenance.age_ms
+        self.expiry_hold.confirmations.add(confirmed_ms)
         if revision == self.mirror.revision:
-            confirmed_ms = now_ms - provenance.age_ms
             self._confirmed_ms = max(confirmed_ms, self._confirmed_ms or confirmed_ms)
 
     def add_age(self, missed_ms: float) -> None:
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -5,6 +5,7 @@
 
 from cowsliploom.gateway._expiry_hold import StoreOutage
 from cowsliploom.gateway._line_log import LineLog
+from cowsliploom.gateway._pauses import PauseDetector
 from cowsliploom.gateway._peer_wire import UNKNOWN_AGE_MS
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._provenance import Provenance
@@ -51,6 +52,7 @@
         self.store_view = store_view
         self.log = log
         self.peers = peers
+        self.pauses = PauseDetector(peers.now_ms)
         self._random = random.Random(seed)
         self._is_watching = False
         self._is_reachable = False
@@ -114,11 +116,28 @@
         if not self._is_reachable:
             self._is_reachable = True
             if self._failures:
-                outage = StoreOutage(self._lost_ms, self.peers.now_ms())
-                self.store_view.note_outage(outage, 'store')
+                self._note_outage()
             self.log.write('store', 'answers', failures=self._failures)
         self._failures = 0
 
+    def _note_outage(self) -> None:
+        """Record the end of an outage, unless only this VM may have been away.
+
+        It may have been if it was paused, or heard none of the other members.
+        """
+        running_since_ms = self.pauses.running_since_ms()
+        lost_ms = max(self._lost_ms, running_since_ms)
+        heard_ms = self.peers.known.heard_ms
+        if self.peers.others() and heard_ms <= lost_ms:
+            self.log.write(
+                'store',
+                'outage not counted',
+                heard_age_ms=round(self.peers.now_ms() - heard_ms),
+            )
+            return
+        outage = StoreOutage(lost_ms, self.peers.now_ms())
+        self.store_view.note_outage(outage, 'store', running_since_ms)
+
     def _record_failure(self, reply: StoreUnanswered) -> float:
         if self._is_reachable or not self._failures:
             self.log.write('store', 'lost', step=reply.step, reason=reply.reason)
--- a/cowsliploom/platform/_settings.py
+++ b/cowsliploom/platform/_settings.py
@@ -50,6 +50,8 @@
         Time between the stop signal and the kill.
     apply_ms : float
         Time within which a new configuration is to be in force.
+    heartbeat_ms : float
+        Interval at which servers renew their registrations.
     access : AccessRules
         How withdrawn keys are treated.
     memory_bytes, files_max : float
@@ -71,6 +73,7 @@
     budget: BudgetRules
     grace_ms: float
     apply_ms: float
+    heartbeat_ms: float = 1200
     access: AccessRules = AccessRules()
     memory_bytes: float = float('inf')
     files_max: float = float('inf')
@@ -128,6 +131,7 @@
         ),
         grace_ms=_read_number(fields, 'bounds.graceS', '6') * MS_PER_S,
         apply_ms=_read_number(fields, 'bounds.configApplyMs', '3000'),
+        heartbeat_ms=_read_number(fields, 'heartbeatMs', '1200'),
         memory_bytes=_read_limit(fields, 'limits.memoryMb') * BYTES_PER_MB,
         files_max=_read_limit(fields, 'limits.maxFds'),
         usage=_read_usage_rules(fields),
