Ask another member for updates before a woken process sends what waited

What callers saw: requests that arrived at a VM during its freeze went to servers that had been removed meanwhile, up to 3.3 s after the removal, and were lost as these ended.

Cause: after a pause the first thing that a process does is to handle the sockets and timers that are due, by what it knew before.

--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -35,6 +35,7 @@
 )
 
 MS_PER_S = 1000
+POSTPONED_MS = 10.0  # until it is asked again whether calls may be sent
 LEAVING_NOTICE = ServerNotice(is_leaving=True)
 # The same limit as for a relay's report, which is one frame.
 SERVER_BOUNDS = AnswerBounds(body_bytes_max=4_000_000)
@@ -65,6 +66,7 @@
         self.admission = Admission() if admission is None else admission
         self.loop = asyncio.get_running_loop()
         self.report_error: Callable[[str, Exception], None] = self._report_to_loop
+        self.may_send: Callable[[], bool] = _always
         self._pools: ConnectionPools[Server] = ConnectionPools(
             SERVER_BOUNDS, self.admission
         )
@@ -185,7 +187,9 @@
         self._timer_ms: float = 0
 
     def start(self) -> None:
-        """Send the first calls."""
+        """Send the first calls, or wait until calls may be sent."""
+        if self._is_postponed(self.start):
+            return
         try:
             self.execute(self._machine.start(self.pools.now_ms()))
         except Exception as error:
@@ -290,8 +294,21 @@
                 machine.due_ms / MS_PER_S, self._handle_timer
             )
 
+    def _is_postponed(self, resume: Callable[[], None]) -> bool:
+        if self.pools.may_send():
+            return False
+        self._timer_ms = self.pools.now_ms() + POSTPONED_MS
+        self._timer = self.pools.loop.call_at(self._timer_ms / MS_PER_S, resume)
+        return True
+
     def _handle_timer(self) -> None:
+        if self._is_postponed(self._handle_timer):
+            return
         self._timer = None
         now_ms = self.pools.now_ms()
         self.pools.dispatcher.record_loop_lag(now_ms - self._timer_ms)
         self.handle(Ticked(now_ms))
+
+
+def _always() -> bool:
+    return True
--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -125,6 +125,7 @@
         self._watch = StoreWatch(
             self._store, self._store_view, self.log, self._peers, self._seed
         )
+        self._pools.may_send = self._watch.wake_gate.may_send
         self._isolation = Isolation(
             self._dispatcher, self._peers, self._store, self.log, self._now_ms
         )
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -10,6 +10,7 @@
 from cowsliploom.gateway._peers import Peers
 from cowsliploom.gateway._provenance import Provenance
 from cowsliploom.gateway._store_view import StoreView
+from cowsliploom.gateway._wake_gate import WakeGate
 from cowsliploom.members import Batch
 from cowsliploom.platform import HistoryGone, PlatformStore, StoreUnanswered
 
@@ -53,6 +54,7 @@
         self.log = log
         self.peers = peers
         self.pauses = PauseDetector(peers.now_ms)
+        self.wake_gate = WakeGate(self.pauses, peers, log)
         self._random = random.Random(seed)
         self._is_watching = False
         self._is_reachable = False
