Let a controller with a lease wait for vetoes after missed time, too

After a freeze of 3.2 to 5 s it found its last step due and finished the move before it had handled the vetoes that waited, as the pause of a controller that begins anew (settle_ms) was set for the gateway's schedule alone.

Change: the default schedule has the same pause, of one second.

Evidence: the new test fails before with 3.2, 3.5 and 5 s missed.

--- a/cowsliploom/rollout/_schedule.py
+++ b/cowsliploom/rollout/_schedule.py
@@ -12,6 +12,7 @@
 STEP_SAMPLES = 100  # calls of the new version after which a step may end early
 USABLE_EXPOSURE = 0.85  # the rest is for calls sent before a roll-back is in force
 FULL_SHARE_MS = 1750.0  # in which it takes effect, is judged, and the move finishes
+SETTLE_MS = 1000.0  # in which the evidence and the vetoes of others arrive
 RAMP_END_STEPS = 3  # the last steps, at which all requests may be moved
 EARLY_EXPOSURE = 0.2  # of the usable one, spent before all requests can be moved
 
@@ -147,7 +148,7 @@
         return min(step_max, max(for_step, EARLY_EXPOSURE * usable / requests))
 
 
-DEFAULT_SCHEDULE = Schedule()
+DEFAULT_SCHEDULE = Schedule(settle_ms=SETTLE_MS)
 
 # A version that turns bad late must have received few requests by then, so the share
 # stays low for as long as the time given allows, and no step ends early. With few
@@ -157,7 +158,7 @@
     early_end=CAUTIOUS_END,
     late_end=CAUTIOUS_END,
     step_min_ms=500,
-    settle_ms=1000,
+    settle_ms=SETTLE_MS,
     fixed_step_times=True,
     bakes_full_share=True,
     low_traffic=LowTraffic(
--- a/cowsliploom/rollout/tests/test_controller.py
+++ b/cowsliploom/rollout/tests/test_controller.py
@@ -264,7 +264,7 @@
     for now_ms in range(0, END_MS, STEP_MS):
         harness.tick(now_ms)
         state = harness.store.state()
-        if state is not None and state.step == len(CAUTIOUS_SCHEDULE.shares) - 2:
+        if state is not None and state.step == len(SHARES) - 2:
             return now_ms
     raise AssertionError('the move did not reach its last step')
 
@@ -285,3 +285,17 @@
     harness.handle(VetoReceived(now_ms + STEP_MS, VETO))
     run([harness], now_ms + 2 * STEP_MS, now_ms + 20 * STEP_MS)
     assert harness.store.state().status is MoveStatus.ROLLED_BACK
+
+
+@pytest.mark.parametrize('missed_ms', [3200, 3500, 5000])
+def test_controller_with_a_lease_waits_for_vetoes_after_missed_time(missed_ms):
+    """A controller whose lease outlived its freeze finished a vetoed move."""
+    harness = ControllerHarness(FakeStore())
+    harness.handle(MovesDeclared(0, (replace(MOVE, finish_by_ms=30_000),), 2))
+    now_ms = run_until_last_step(harness) + missed_ms
+    harness.tick(now_ms)
+    harness.tick(now_ms + STEP_MS)
+    assert harness.store.state().status is MoveStatus.RUNNING
+    harness.handle(VetoReceived(now_ms + STEP_MS, VETO))
+    run([harness], now_ms + 2 * STEP_MS, now_ms + 60 * STEP_MS)
+    assert harness.store.state().status is MoveStatus.ROLLED_BACK
