Hold an answer once while it is read, and count unread frames whole

Cause: the bytes of a whole body were joined into a second object of the same size, and the first stayed until all that had arrived was parsed; a frame was copied twice.

Change: bodies are collected in a buffer that hands over its bytes without a copy, a frame is copied once, and written frames count whole.

--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass
+from io import BytesIO
 from typing import Protocol, cast
 
 import httptools
@@ -93,7 +94,7 @@
         self._meter = AnswerMeter(pool.bounds)
         self._headers: HeaderList = []
         self._length_bytes = 0
-        self._body = bytearray()
+        self._body = BytesIO()
         self._is_head_complete = False
         self._has_framing = False
         self._has_watched_header = False
@@ -125,7 +126,7 @@
             return
         self._parse(self._admission.read_buffer[:nbytes])
         self._deliver()
-        if self._call is not None and self._body:
+        if self._call is not None and self._body.tell():
             self.note_held()
             self._room.pause_unless_admitted()
 
@@ -160,7 +161,7 @@
         self._has_watched_header = False
         self._headers = []
         self._length_bytes = 0
-        self._body = bytearray()
+        self._body = BytesIO()
 
     def on_header(self, name: bytes, header: bytes) -> None:
         """Store a header and note how the body is framed.
@@ -207,7 +208,7 @@
     def on_body(self, chunk: bytes) -> None:
         """Append a chunk of the body."""
         if self._completed is None:
-            self._body += chunk
+            self._body.write(chunk)
             self._meter.reset_overhead()
 
     def on_message_complete(self) -> None:
@@ -256,29 +257,29 @@
     @property
     def incomplete_bytes(self) -> int:
         """Memory of the answer that is being read."""
-        return len(self._body)
+        return self._body.tell()
 
     @property
     def expected_bytes(self) -> int:
         """Memory that the answer takes, or the next step of an unknown length."""
-        return self._length_bytes or len(self._body) + STEP_BYTES
+        return self._length_bytes or self._body.tell() + STEP_BYTES
 
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
-        reading = max(len(self._body), self._room.reserved_bytes)
+        reading = max(self._body.tell(), self._room.reserved_bytes)
         if self._transport is not None:
             self._admission.charge(self, CONNECTION_BYTES + reading)
 
     def _discard_body(self) -> None:
-        if self._body:
-            self._body = bytearray()
+        if self._body.tell():
+            self._body = BytesIO()
             self._room.release()
             self.note_held()
 
     def _release(self) -> None:
         """Free the buffers now; a reference cycle with the parser delays collection."""
         self._headers = []
-        self._body = bytearray()
+        self._body = BytesIO()
         self._parser = httptools.HttpResponseParser(self)
 
     def _parse(self, chunk: memoryview) -> None:
@@ -300,7 +301,7 @@
         if call is None:
             return
         answer = HttpAnswer(
-            self._parser.get_status_code(), self._headers, bytes(self._body)
+            self._parser.get_status_code(), self._headers, self._body.getvalue()
         )
         origin = call.origin_of(answer)
         if origin is not AnswerOrigin.OTHER_CALL:
--- a/cowsliploom/dataplane/_frames.py
+++ b/cowsliploom/dataplane/_frames.py
@@ -52,6 +52,7 @@
         self._buffer = bytearray()
         self._room = ReadRoom(self, self._admission, is_work=False)
         self._is_aborted = False
+        self._written_bytes = 0
         self._frame_start_ms: float | None = None
         self._pace = ReadingPace()
         self.was_made = False
@@ -112,7 +113,9 @@
             start = begin + length
             self._frame_start_ms = None
             self._room.release()
-            self._on_frame(self, bytes(buffer[begin:start]))
+            with memoryview(buffer) as view:
+                frame = bytes(view[begin:start])
+            self._on_frame(self, frame)
         del buffer[:start]
         if buffer and self._frame_start_ms is None:
             self._frame_start_ms = self._admission.now_ms()
@@ -121,8 +124,14 @@
         """Send a frame; it is lost if the connection is lost."""
         if self._transport is not None:
             self._transport.write(len(frame).to_bytes(LENGTH_BYTES) + frame)
+            self._written_bytes += LENGTH_BYTES + len(frame)
             self.note_held()
 
+    def resume_writing(self) -> None:
+        """Forget the frames that the peer has read."""
+        self._written_bytes = 0
+        self.note_held()
+
     def abort(self) -> None:
         """Close immediately and discard frames that were not delivered."""
         self._is_aborted = True
@@ -161,8 +170,11 @@
     def note_held(self) -> None:
         """Update what the connection holds in the account."""
         unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        if not unsent:
+            self._written_bytes = 0
+        written = max(unsent, self._written_bytes)
         reading = max(len(self._buffer), self._room.reserved_bytes)
-        self._admission.update(self, CONNECTION_BYTES + unsent + reading)
+        self._admission.update(self, CONNECTION_BYTES + written + reading)
 
 
 async def open_frame_connection(
--- a/cowsliploom/dataplane/_request_reader.py
+++ b/cowsliploom/dataplane/_request_reader.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from io import BytesIO
 from typing import Protocol
 
 import httptools
 
-from cowsliploom.dataplane._rendering import head_without_offer
 from cowsliploom.dataplane._numbers import parse_count
+from cowsliploom.dataplane._rendering import head_without_offer
 from cowsliploom.dataplane._sockets import HeaderList
 from cowsliploom.dataplane._weights import HEADER_BYTES
 from cowsliploom.forwarding import CallerLimits
@@ -82,14 +83,14 @@
         self._header_bytes = 0
         self._unreported_bytes = 0
         self._length_bytes: int | None = None
-        self._body = bytearray()
+        self._body = BytesIO()
         self._is_in_body = False
         self._is_ended = False
 
     @property
     def held_bytes(self) -> int:
         """Memory that the incomplete request takes."""
-        return len(self._target) + self._headers_weight() + len(self._body)
+        return len(self._target) + self._headers_weight() + self._body.tell()
 
     @property
     def expected_bytes(self) -> int:
@@ -119,7 +120,7 @@
     def end(self) -> None:
         """Ignore all further bytes, and free the memory of the body."""
         self._is_ended = True
-        self._body = bytearray()
+        self._body = BytesIO()
 
     # Callbacks of httptools.
 
@@ -130,7 +131,7 @@
         self._header_bytes = 0
         self._length_bytes = None
         self._is_in_body = False
-        self._body = bytearray()
+        self._body = BytesIO()
         self._events.begin_request()
 
     def on_url(self, url: bytes) -> None:
@@ -164,10 +165,10 @@
         """Append a chunk of the body; many small ones take no more than their bytes."""
         self._unreported_bytes = 0
         bytes_max = self._limits().body_bytes_max
-        if len(self._body) + len(chunk) > bytes_max:
+        if self._body.tell() + len(chunk) > bytes_max:
             self._reject(413, f'body over {bytes_max} bytes')
             return
-        self._body += chunk
+        self._body.write(chunk)
 
     def on_message_complete(self) -> None:
         """Report the complete request."""
@@ -178,10 +179,10 @@
             self._parser.get_method().decode('latin-1'),
             self._target.decode('latin-1'),
             self.headers,
-            bytes(self._body),
+            self._body.getvalue(),
             self._parser.should_keep_alive(),
         )
-        self._body = bytearray()
+        self._body = BytesIO()
         self._target = b''
         self.headers = []
         self._is_in_body = False
