Set the timer of a request that waited after a pause

Cause: the timer that postponed the start of a request stayed recorded after it had fired, and as it was due before the request's own it stood in for it: a request whose server never answers was not ended at its deadline. Found by reading the change once more, not seen in a run.

Change: the fired timer is forgotten before it is asked whether calls may be sent. Evidence: the new test fails before (no answer after the deadline).

--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -295,6 +295,7 @@
             )
 
     def _is_postponed(self, resume: Callable[[], None]) -> bool:
+        self._timer = None
         if self.pools.may_send():
             return False
         self._timer_ms = self.pools.now_ms() + POSTPONED_MS
@@ -304,7 +305,6 @@
     def _handle_timer(self) -> None:
         if self._is_postponed(self._handle_timer):
             return
-        self._timer = None
         now_ms = self.pools.now_ms()
         self.pools.dispatcher.record_loop_lag(now_ms - self._timer_ms)
         self.handle(Ticked(now_ms))
--- a/cowsliploom/gateway/tests/test_wake_gate.py
+++ b/cowsliploom/gateway/tests/test_wake_gate.py
@@ -62,9 +62,10 @@
         request_log = RequestLog(RecordingLog(), Metrics(), make_store_view())
         self.forwarder = Forwarder(self.pools, None, request_log)
 
-    def ask(self):
+    def ask(self, deadline_ms=5000):
         """Let a caller ask; return the request."""
-        request = FakeHttpRequest('/once/x', self.pools.now_ms())
+        headers = (*FakeHttpRequest.headers, ('Deadline', str(deadline_ms)))
+        request = FakeHttpRequest('/once/x', self.pools.now_ms(), headers=headers)
         self.disconnect = self.forwarder.handle(request)
         return request
 
@@ -126,6 +127,23 @@
     asyncio.run(play())
 
 
+def test_request_that_waited_has_its_timeout():
+    """The timer that postponed a request stood in for that of its deadline."""
+
+    async def play():
+        scenario = Scenario()
+        scenario.clock.now_ms = PAUSE_MS
+        request = scenario.ask(deadline_ms=200)
+        scenario.peers.answer.set_result(True)
+        await let_run()
+        assert scenario.sent
+        assert not request.statuses
+        await asyncio.sleep(0.3)
+        assert request.statuses == [504]
+
+    asyncio.run(play())
+
+
 def test_caller_that_leaves_meanwhile_costs_no_call():
     async def play():
         scenario = Scenario()
