--- a/review/kit3/backend.py
+++ b/review/kit3/backend.py
@@ -55,6 +55,7 @@
         self.version = version
         self.state = 'ready'
         self.slots = 6
+        self.sequence = 1
         self.born = int(time.time() * 1000)
         self.work_s = 0.005
         self.body = name.encode().ljust(16, b'.')[:16]
@@ -91,7 +92,7 @@
                 'slots': self.slots,
                 'state': self.state,
                 'coldRemainingMs': 0,
-                'sequence': 1,
+                'sequence': self.sequence,
                 'born': self.born,
             }
         ).encode()
