--- a/review/kit3/backend.py
+++ b/review/kit3/backend.py
@@ -56,6 +56,7 @@
         self.state = 'ready'
         self.slots = 6
         self.sequence = 1
+        self.cold_until_s = 0.0
         self.born = int(time.time() * 1000)
         self.work_s = 0.005
         self.body = name.encode().ljust(16, b'.')[:16]
@@ -119,8 +120,11 @@
 
     async def _answer(self, request, writer, peer):
         if request.target == '/health':
-            headers = {'Instance-Id': self.name}
-            writer.write(render('HTTP/1.1 200 OK', headers))
+            self.world.note(f'{self.name}: is asked for its health by {peer}')
+            cold_ms = max(0, round((self.cold_until_s - time.monotonic()) * 1000))
+            headers = {'Instance-Id': self.name, 'Cold-Remaining': str(cold_ms)}
+            status = '200 OK' if self.state == 'ready' else '503 Draining'
+            writer.write(render(f'HTTP/1.1 {status}', headers))
             return
         wanted = request.headers.get('target-instance', self.name)
         if wanted != self.name:
--- a/review/kit3/world.py
+++ b/review/kit3/world.py
@@ -221,7 +221,7 @@
         for gateway in self.gateways:
             await gateway.wait_ready()
 
-    def configure(self, version, routes, services):
+    def configure(self, version, routes, services, cold_per_s=0.0):
         """Write a configuration; its version is acknowledged with the return."""
         document = {
             'version': version,
@@ -232,7 +232,7 @@
                     'healthPath': '/health',
                     'maxConnections': 110,
                     'warmupS': 3.0,
-                    'coldPerS': 0.0,
+                    'coldPerS': cold_per_s,
                 }
                 for name in services
             ],
