--- a/review/kit3/store.py
+++ b/review/kit3/store.py
@@ -86,6 +86,7 @@
 
     def put(self, key, content, by='operator'):
         """Write a key; return the revision, which is the acknowledgement."""
+        self.revision += 1
         revision = self._write(key, content, 0)
         self.note(f'store: {by} writes {key} at revision {revision}')
         self._wake()
@@ -94,6 +95,7 @@
     def delete(self, key, by='store'):
         """Remove a key."""
         if key in self.items:
+            self.revision += 1
             self._remove(key)
             self.note(f'store: {by} removes {key} at revision {self.revision}')
             self._wake()
@@ -132,7 +134,6 @@
     # Changes.
 
     def _write(self, key, content, lease):
-        self.revision += 1
         known = self.items.get(key)
         created = known.created if known else self.revision
         item = Item(key, content, self.revision, created, lease)
@@ -142,7 +143,6 @@
 
     def _remove(self, key):
         del self.items[key]
-        self.revision += 1
         self.events.append({'key': key, 'revision': self.revision, 'tombstone': True})
 
     def _wake(self):
@@ -252,6 +252,7 @@
             lease = write.get('lease', 0)
             if lease and lease not in self._leases:
                 return 404, {}
+        self.revision += 1
         for write in writes:
             content = base64.b64decode(write['value'])
             revision = self._write(write['key'], content, write.get('lease', 0))
@@ -284,6 +285,9 @@
         timer = self._leases.pop(lease, None)
         if timer is not None:
             timer.cancel()
-        for key in [key for key, item in self.items.items() if item.lease == lease]:
+        gone = [key for key, item in self.items.items() if item.lease == lease]
+        if gone:
+            self.revision += 1
+        for key in gone:
             self._remove(key)
         self._wake()
