--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A backend that becomes cold again between two of its reports."""
+"""Entries whose address can't be read, for a while, and what is left of the machines."""
 
 import asyncio
 import json
@@ -8,66 +8,96 @@
 from review.kit3.world import main
 
 FOLDER = Path(__file__).parent
-ZONES = ('gogledd', 'canolbarth', 'de')
-SERVICE = 'cellar-brief-01'
-BEAT_S = 1.2  # heartbeatMs
-COLD_S = 3.0  # warmupS
-COLD_PER_S = 4.0  # coldPerS
-BOUND_PER_S = COLD_PER_S * 1.5 + 5  # coldOverage, coldSlack
-GAP_S = 3 / 45  # between requests to one of three gateways: 45 a second in all
-WORK_S = 0.0165  # of line-history
-
-
-async def answer(backend, request, writer, peer):
-    """Answer like a sound backend."""
-    backend.note(request, peer, ran=True)
-    await asyncio.sleep(WORK_S)
-    writer.write(backend.render_success(request))
-    return True
-
-
-async def send_until(world, gateway, end_s):
-    """Send requests to a gateway, several at a time."""
+ZONE, OTHER_ZONE = 'gogledd', 'canolbarth'
+MACHINES = 3
+SHARDS = tuple(f'cellar-brief-{number:02}' for number in range(20))
+ODD_PER_SHARD = 20
+LABEL = 'arddangos'.ljust(70, 'x')  # a label of a host has 63 characters at most
+ODD_ADDRESS = f'{LABEL}.example:8080'
+DEADLINE_MS = 1500  # of line-history
+RETRIES = 1  # of its clients
+GAP_S = 0.05  # between requests to one gateway
+ODD_S = 36.0  # for which the entries stand in the store
+AFTER_S = 68.0
+UNSERVED_MAX = 0.6  # refused + failed, of those owed
+
+
+def search(world):
+    """Return the route of a search over all shards."""
+    route = world.route(
+        'r-history', '/history/', '', timeoutMs=DEADLINE_MS, targetLatencyMs=118
+    )
+    del route['service']
+    fan_out = {'fanoutServices': list(SHARDS), 'topK': 50, 'minShardShare': 0.89}
+    return {**route, **fan_out}
+
+
+def odd_keys():
+    """Return the keys of the other writer's entries, with their shards."""
+    return {
+        f'servers/arddangos-{shard}-{number}': shard
+        for shard in SHARDS
+        for number in range(ODD_PER_SHARD)
+    }
+
+
+def write_odd_entries(world):
+    """Write entries that are sound but for their address."""
+    for key, shard in odd_keys().items():
+        entry = json.loads(world.backends[f'i-{shard}-1'].entry())
+        entry['address'] = ODD_ADDRESS
+        world.store.put(key, json.dumps(entry).encode(), by='another writer')
+
+
+async def request(world, gateway):
+    """Send a request as a client does, with a retry; return whether it was served."""
+    others = [other for other in world.gateways if other is not gateway]
+    started_s = time.monotonic()
+    for attempt in range(1 + RETRIES):
+        left_ms = DEADLINE_MS - (time.monotonic() - started_s) * 1000
+        used = gateway if not attempt else others[attempt % len(others)]
+        result = await world.send(
+            used, '/history/1', deadline_ms=max(1, round(left_ms))
+        )
+        if result.status == 200:
+            return True
+    return False
+
+
+async def send_for(world, seconds):
+    """Send requests to all gateways for a while; return which were served."""
     sent = []
+    end_s = time.monotonic() + seconds
     while time.monotonic() < end_s:
-        sent.append(asyncio.create_task(world.send(gateway, '/brief/1')))
+        for gateway in world.gateways:
+            sent.append(asyncio.create_task(request(world, gateway)))
         await asyncio.sleep(GAP_S)
-    await asyncio.gather(*sent)
+    return await asyncio.gather(*sent)
 
 
 async def case(world):
     """Return how the rule was broken."""
-    for number in (1, 2):
-        backend = await world.add_backend(SERVICE, number, zone=ZONES[0])
-        backend.answer_hook = answer
-    first = next(iter(world.backends.values()))
-    route = world.route('r-brief', '/brief/', SERVICE, targetLatencyMs=118)
-    world.configure(3, [route], (SERVICE,), cold_per_s=COLD_PER_S)
-    await world.add_gateways(ZONES)
-    end_s = time.monotonic() + 10
-    loads = [send_until(world, gateway, end_s) for gateway in world.gateways]
-    loading = asyncio.gather(*loads)
-    await asyncio.sleep(5)
-    if not world.trouble:
-        await loading
-        return []
-    cold_s = time.monotonic()
-    first.cold_until_s = cold_s + COLD_S
-    world.note(f'{first.name}: is cold again, and says so from now on when asked')
-    await asyncio.sleep(BEAT_S)
-    left_ms = round((COLD_S - BEAT_S) * 1000)
-    entry = {**json.loads(first.entry()), 'coldRemainingMs': left_ms, 'sequence': 2}
-    world.store.put(first.key, json.dumps(entry).encode(), by=first.name)
-    await loading
-    arrived = [
-        arrival.at_s
-        for arrival in first.arrivals
-        if cold_s <= arrival.at_s < cold_s + COLD_S
-    ]
-    most = max(sum(at_s <= other < at_s + 1 for other in arrived) for at_s in arrived)
-    world.note(f'{most} requests in one second reached {first.name} while cold')
-    if most > BOUND_PER_S:
-        return [f'FAILBACK: {most} requests in one second, of {BOUND_PER_S} allowed']
+    for shard in SHARDS:
+        await world.add_backend(shard, 1, zone=ZONE)
+        await world.add_backend(shard, 2, zone=OTHER_ZONE)
+    world.configure(3, [search(world)], SHARDS)
+    await world.add_gateways([ZONE] * MACHINES)
+    await asyncio.sleep(1)
+    if world.trouble:
+        write_odd_entries(world)
+    during = await send_for(world, ODD_S)
+    for key in odd_keys():
+        world.store.delete(key, by='another writer')
+    after = await send_for(world, AFTER_S)
+
+    last = after[len(after) // 2 :]
+    for name, of_time in (('while they stand', during), ('after', after)):
+        world.note(f'{name}: {of_time.count(False)} of {len(of_time)} not served')
+    world.note(f'last half after: {last.count(False)} of {len(last)} not served')
+    served = during + after
+    if served.count(False) > UNSERVED_MAX * len(served):
+        unserved = served.count(False)
+        return [f'Gate: {unserved} of {len(served)} requests were refused or failed']
     return []
 
 
