Order what is known of the store by its era before its revision

Cause: a restored store gives out again the revisions of the lost writes, and the mirror, the peers' messages, the freshness of the view, the watch and the conditions of writes were ordered by the revision alone.

Change: the client of the store puts the era of each answer before the revision, so that all who order by revisions order by (era, revision). A watch or a condition from an earlier era is not sent. Any answer of a new era makes the contents here count as out of date until a whole listing of it is applied; what that listing lacks stays in force for the time in which it is written again. States of moves never go back: a state that the store has lost is written again by a VM that knows it.

--- a/cowsliploom/gateway/_controller_role.py
+++ b/cowsliploom/gateway/_controller_role.py
@@ -37,6 +37,13 @@
         """Return whether this VM is one of them."""
         return self._peers.known.own.name in self.judges()
 
+    def rank(self) -> int:
+        """Return the place of this VM among the live members; 0 is the first."""
+        now_ms = self._peers.now_ms()
+        members = len(self._peers.known.live(now_ms))
+        ranked = self._peers.known.rank_live(ROLE, now_ms, members)
+        return ranked.index(self._peers.known.own.name)
+
     def update(self) -> bool:
         """Return whether this VM is the controller now."""
         is_first = self.judges()[0] == self._peers.known.own.name
--- a/cowsliploom/gateway/_expiry_hold.py
+++ b/cowsliploom/gateway/_expiry_hold.py
@@ -133,6 +133,10 @@
         self.outage = outage
         return True
 
+    def note_restored(self, now_ms: float) -> None:
+        """Record that the store came back from a copy without the latest writes."""
+        self.outage = StoreOutage(now_ms, now_ms)
+
     def ages_ms(self, now_ms: float) -> tuple[float, ...]:
         """Return how long ago the outage began and ended, while it keeps any."""
         if self.outage is None or now_ms > self.until_ms:
--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -1,7 +1,7 @@
 """This entry VM's view of the configuration and the backend servers."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from cowsliploom import platform
@@ -17,8 +17,11 @@
 from cowsliploom.gateway._move_tracker import MoveTracker
 from cowsliploom.gateway._peer_wire import UNKNOWN_AGE_MS
 from cowsliploom.gateway._provenance import Provenance
-from cowsliploom.members import Batch, StoreMirror
+from cowsliploom.gateway._stored_moves import STATE_PREFIX
+from cowsliploom.members import Batch, StoreMirror, era_of, store_revision
 
+# Written again by operators, or by the VMs themselves, if a restored store lacks them.
+RESTORED_PREFIXES = (platform.EVACUATION_PREFIX, platform.MOVE_PREFIX, STATE_PREFIX)
 FRESHNESS_SHARE = 0.8  # of the apply time; the rest is for the way from the store
 CHANGE_LINES_MAX = 20  # more lines would push others out of the log
 
@@ -109,6 +112,17 @@
             self.confirmed_age_ms(now_ms),
         )
 
+    def note_restored(self, era: int) -> None:
+        """Record that the store has come back from an older copy.
+
+        What is known here stays in use, and counts as out of date until the contents of
+        the new era are complete.
+        """
+        heard_revision = store_revision(era, 0)
+        if heard_revision > self.heard_revision:
+            self.heard_revision = heard_revision
+            self.log.write('store', 'restored', era=era, revision=self.mirror.revision)
+
     def note_outage(
         self, outage: StoreOutage, source: str, running_since_ms: float = NEVER_MS
     ) -> None:
@@ -154,8 +168,12 @@
         """
         known_revision = self.mirror.revision
         changed = self.mirror.apply(batch)
+        for written in filter(self.mirror.get, changed):
+            self._held.pop(written, None)
         if batch.is_whole:
             self._log_full_contents(batch, len(changed), known_revision, provenance)
+        if known_revision and era_of(self.mirror.revision) > era_of(known_revision):
+            self._hold_lost(changed, now_ms)
         if is_newest:
             self.confirm(batch.revision, provenance, now_ms)
         if not changed:
@@ -163,7 +181,7 @@
         if platform.CONFIGURATION_KEY in changed:
             self._apply_configuration(provenance)
         self._apply_evacuations()
-        self._moves.apply(changed, provenance)
+        self._moves.apply(changed - self._held.keys(), provenance)
         servers = [key for key in changed if key.startswith(platform.SERVER_PREFIX)]
         if servers:
             self._apply_servers(servers, provenance, now_ms)
@@ -193,7 +211,25 @@
             del self._held[key]
             self._records.pop(key, None)
         if due:
-            self._update_fleet(Provenance('held registrations'), now_ms)
+            provenance = Provenance('held registrations')
+            self._apply_evacuations()
+            self._moves.apply(due, provenance)
+            self._update_fleet(provenance, now_ms)
+
+    def _hold_lost(self, changed: Iterable[str], now_ms: float) -> None:
+        """Keep for a while what a restored store lacks, as it will be written again."""
+        era = era_of(self.mirror.revision)
+        self.note_restored(era)
+        self.expiry_hold.note_restored(now_ms)
+        until_ms = self.expiry_hold.until_ms
+        lost = [
+            key
+            for key in changed
+            if key.startswith(RESTORED_PREFIXES) and self.mirror.get(key) is None
+        ]
+        self._held.update(dict.fromkeys(lost, until_ms))
+        hold_ms = round(until_ms - now_ms)
+        self.log.write('store', 'lost keys held', era=era, keys=lost, for_ms=hold_ms)
 
     def _apply_configuration(self, provenance: Provenance) -> None:
         item = self.mirror.get(platform.CONFIGURATION_KEY)
@@ -218,11 +254,9 @@
             )
 
     def _apply_evacuations(self) -> None:
-        keys = (
-            item.key
-            for item in self.mirror.items_with_prefix(platform.EVACUATION_PREFIX)
-        )
-        closed = platform.evacuated_data_centres(keys)
+        stored = self.mirror.items_with_prefix(platform.EVACUATION_PREFIX)
+        keys = (item.key for item in stored)
+        closed = platform.evacuated_data_centres((*keys, *self._held))
         if closed != self.dispatcher.fleet.closed_data_centres:
             self.dispatcher.fleet.closed_data_centres = closed
             self.log.write('evacuation', 'changed', data_centres=sorted(closed))
--- a/cowsliploom/gateway/_store_watch.py
+++ b/cowsliploom/gateway/_store_watch.py
@@ -50,6 +50,7 @@
         seed: int,
     ) -> None:
         self.store = store
+        store.on_restored = store_view.note_restored
         self.store_view = store_view
         self.log = log
         self.peers = peers
@@ -101,7 +102,9 @@
             case StoreUnanswered():
                 return self._record_failure(reply)
             case HistoryGone():
-                self.log.write('store', 'history gone', after=reply.after)
+                self.log.write(
+                    'store', 'history gone', after=reply.after, era=reply.era
+                )
                 self._needs_list = True
                 return 0
         self._record_answer()
--- a/cowsliploom/gateway/_stored_vetoes.py
+++ b/cowsliploom/gateway/_stored_vetoes.py
@@ -5,7 +5,7 @@
 from cowsliploom import platform
 from cowsliploom.gateway._background import BackgroundTasks
 from cowsliploom.gateway._line_log import LineLog
-from cowsliploom.members import StoreMirror
+from cowsliploom.members import StoreMirror, era_of
 from cowsliploom.protocol import UnreadableError, decode_json
 from cowsliploom.rollout import Veto
 
@@ -49,7 +49,12 @@
     def read(self, service: str) -> Veto | None:
         """Return the stored veto against a version of a service if it is new here."""
         item = self._mirror.get(f'{VETO_PREFIX}{service}')
-        if item is None or item.revision == self._read_revisions.get(service):
+        known_revision = self._read_revisions.get(service, 0)
+        if item is None:
+            if era_of(known_revision) < era_of(self._mirror.revision):
+                self._read_revisions.pop(service, None)  # a restored store lacks it
+            return None
+        if item.revision == known_revision:
             return None
         self._read_revisions[service] = item.revision
         try:
--- a/cowsliploom/gateway/_usage_task.py
+++ b/cowsliploom/gateway/_usage_task.py
@@ -12,6 +12,7 @@
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._suspension import SuspensionDetector
 from cowsliploom.gateway._usage_exchange import UsageExchange
+from cowsliploom.members import era_of
 from cowsliploom.protocol import UnreadableError, decode_json
 from cowsliploom.usage import (
     AcquireDuty,
@@ -156,16 +157,18 @@
         return first == (self._peers.known.own.name,) and not self._is_stopping
 
     def _stored_duty(self) -> StoredDuty:
-        item = self._store_view.mirror.get(RECORD_KEY)
-        is_held = self._store_view.mirror.get(HOLDER_KEY) is not None
+        mirror = self._store_view.mirror
+        item = mirror.get(RECORD_KEY)
+        is_held = mirror.get(HOLDER_KEY) is not None
+        era = max(self._store.era, era_of(mirror.revision))
         if item is None:
-            return StoredDuty(is_held=is_held, era=self._store.era)
+            return StoredDuty(is_held=is_held, era=era)
         record = None
         try:
             record = decode_json(item.content, DutyRecord)
         except UnreadableError as error:
             self._log.write('usage', 'unreadable', reason=error.reason)
-        return StoredDuty(record, item.revision, is_held, self._store.era)
+        return StoredDuty(record, item.revision, is_held, era)
 
     def _stored_holder(self) -> DutyHolder | None:
         item = self._store_view.mirror.get(HOLDER_KEY)
--- a/cowsliploom/gateway/_version_moves.py
+++ b/cowsliploom/gateway/_version_moves.py
@@ -3,7 +3,6 @@
 Imported at the first move request, as most processes never receive one.
 """
 
-import asyncio
 import time
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
@@ -19,6 +18,7 @@
 from cowsliploom.gateway._move_states import MoveStates
 from cowsliploom.gateway._peer_wire import Fact
 from cowsliploom.gateway._peers import Peers
+from cowsliploom.gateway._repeated_states import RepeatedStates
 from cowsliploom.gateway._store_view import StoreView
 from cowsliploom.gateway._stored_moves import STATE_PREFIX
 from cowsliploom.gateway._stored_vetoes import StoredVetoes
@@ -43,7 +43,6 @@
 )
 
 MS_PER_S = 1000
-CONFIRM_PAUSE_MS = 1000  # until the write is visible here, or is retried
 
 
 class VersionMoves:
@@ -76,13 +75,13 @@
         self._states = MoveStates(store, store_view.mirror, log)
         self._vetoes = StoredVetoes(store, store_view.mirror, log)
         self._role = ControllerRole(peers, log)
+        self._repeated = RepeatedStates(self._states, self._role)
         self._evidence_log = EvidenceLog(self._rollout, log)
         self._bake_log = BakeLog(self._rollout, log)
         self._log = log
         self._active_orders: dict[str, ActiveOrder] = {}
         self._ended_services: set[str] = set()
         self._raised: dict[str, Veto] = {}
-        self._confirming: set[str] = set()
         self._running: tuple[Move, ...] = ()
         self._entry_count = 0
         self._state_revisions: dict[str, int] = {}
@@ -103,7 +102,8 @@
         is_controller = CandidateChanged(now_ms, self._role.update())
         self._perform(self._rollout.step_controller(is_controller))
         if self._role.is_held:
-            self._confirm_ended()
+            self._repeated.confirm(self._repeated_orders())
+        self._repeated.restore(self._unvetoed_orders())
         view = _fleet_view(self._peers, self._store_view, self._running)
         self._perform(self._rollout.tick(now_ms, time.time() * MS_PER_S, view))
         self._evidence_log.write(self._running, self._role.is_judge(), now_ms)
@@ -145,6 +145,7 @@
         self._active_orders.pop(service, None)
         self._raised.pop(service, None)
         self._state_revisions.pop(service, None)
+        self._states.known.forget(service)
         self._ended_services.discard(service)
 
     def _apply_states(self) -> None:
@@ -161,6 +162,7 @@
         active = self._active_orders[service]
         if not active.matches(state):
             return
+        state = self._states.known.merge(service, state, revision)
         now_ms = self._peers.now_ms()
         active = active.backdated(state, now_ms)
         self._active_orders[service] = active
@@ -284,18 +286,20 @@
         elif announced.key.startswith('evidence/'):
             self._peers.send_fact(fact, self._role.judges())
 
-    def _confirm_ended(self) -> None:
-        """Answer repeated requests for ended moves by writing their states again."""
-        for service in self._ended_services - self._confirming:
-            order = self._active_orders[service].order
-            if order.revision > self._state_revisions[service]:
-                self._confirming.add(service)
-                self._background.start(self._confirm(service))
-
-    async def _confirm(self, service: str) -> None:
-        await self._states.confirm(self._active_orders[service])
-        await asyncio.sleep(CONFIRM_PAUSE_MS / MS_PER_S)
-        self._confirming.discard(service)
+    def _repeated_orders(self) -> Iterator[ActiveOrder]:
+        """Return the requests that came again after their moves had ended."""
+        for service in self._ended_services:
+            active = self._active_orders[service]
+            if active.order.revision > self._state_revisions[service]:
+                yield active
+
+    def _unvetoed_orders(self) -> Iterator[ActiveOrder]:
+        """Return the requests whose known states no veto outranks."""
+        vetoes = self._rollout.vetoes()
+        for service, active in self._active_orders.items():
+            known = self._states.known.get(service)
+            if known is not None and not _is_vetoed(service, known.state, vetoes):
+                yield active
 
     async def _read(self, service: str) -> None:
         answer = await self._states.read(service, self._active_orders.get(service))
--- a/cowsliploom/members/__init__.py
+++ b/cowsliploom/members/__init__.py
@@ -22,6 +22,9 @@
 from cowsliploom.members._rendezvous import chosen_watchers as chosen_watchers
 from cowsliploom.members._rendezvous import rank_names as rank_names
 from cowsliploom.members._rendezvous import rendezvous_score as rendezvous_score
+from cowsliploom.members._store_revisions import era_of as era_of
+from cowsliploom.members._store_revisions import number_in_era as number_in_era
+from cowsliploom.members._store_revisions import store_revision as store_revision
 from cowsliploom.members._watch_choice import STALE_MS as STALE_MS
 from cowsliploom.members._watch_choice import WATCHERS as WATCHERS
 from cowsliploom.members._watch_choice import WatchInputs as WatchInputs
--- a/cowsliploom/members/_mirror.py
+++ b/cowsliploom/members/_mirror.py
@@ -55,9 +55,11 @@
     Notes
     -----
     Each key is ordered by its own revision, so batches of the store and of several
-    peers may arrive twice, late and in any order. A batch that begins after the
-    mirror's revision leaves a gap: its changes are applied, but the mirror's revision
-    stays.
+    peers may arrive twice, late and in any order. Revisions hold the store's era (see
+    ``store_revision``): what a restored store has outranks all that it had before, and
+    only its whole content lifts the mirror into the new era. A batch that begins after
+    the mirror's revision leaves a gap: its changes are applied, but the mirror's
+    revision stays.
 
     Removals are known only after the horizon: those before it fell out of the
     tombstones, or happened before a full batch, which does not name them. A key that is
--- a/cowsliploom/platform/_store.py
+++ b/cowsliploom/platform/_store.py
@@ -1,9 +1,8 @@
 """Client of the platform's store over HTTP."""
 
 import base64
-import binascii
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
@@ -18,7 +17,23 @@
     HttpAnswer,
     parse_count,
 )
-from cowsliploom.members import Batch, MirrorItem, Removal
+from cowsliploom.members import (
+    Batch,
+    MirrorItem,
+    era_of,
+    number_in_era,
+    store_revision,
+)
+from cowsliploom.platform._store_wire import (
+    WireEvents,
+    WireItem,
+    WireKept,
+    WireLease,
+    WireRange,
+    WireRevision,
+    decode_events,
+    decode_items,
+)
 from cowsliploom.protocol import UnreadableError, decode_json
 
 CONNECT_TIMEOUT_MS = 1000
@@ -54,9 +69,19 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryGone:
-    """The store no longer keeps the changes after a revision."""
+    """The store no longer keeps the changes after a revision.
+
+    Parameters
+    ----------
+    after : int
+        The revision.
+    era : int
+        Era in which the store answered; a later one than that of the revision if it
+        has come back from an older copy.
+    """
 
     after: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,37 +126,6 @@
     """A key was not at its expected revision; nothing was written."""
 
 
-class _WireItem(msgspec.Struct):
-    key: str
-    revision: int
-    value: str = ''  # base64
-    tombstone: bool = False
-
-
-class _WireRange(msgspec.Struct, rename='camel'):
-    items: list[_WireItem]
-    current_rev: int
-    has_more: bool = False
-
-
-class _WireEvents(msgspec.Struct, rename='camel'):
-    events: list[_WireItem]
-    current_rev: int
-
-
-class _WireRevision(msgspec.Struct):
-    revision: int
-
-
-class _WireKept(msgspec.Struct, rename='camel'):
-    ttl_ms: float
-
-
-class _WireLease(msgspec.Struct, rename='camel'):
-    lease: int
-    ttl_ms: float
-
-
 class PlatformStore:
     """Client of the store; no call raises on an outage.
 
@@ -148,12 +142,21 @@
         Counts the calls by kind.
     era : int
         How often the store has come back from an older copy, as last heard.
+    on_restored : callable
+        Called with the new era by the first answer after a restore.
+
+    Notes
+    -----
+    All revisions here are those of ``store_revision``, with the era of the answer that
+    brought them. A condition on a revision of an earlier era is never sent, as the
+    restored store may have given its number to another write.
     """
 
     def __init__(self, address: str, admission: Admission | None = None) -> None:
         self.address = address
         self.calls: Counter[str] = Counter()
         self.era = 0
+        self.on_restored: Callable[[int], None] = _ignore_era
         self._pool = ConnectionPool(
             address, CONNECT_TIMEOUT_MS, admission=admission, has_priority=True
         )
@@ -169,20 +172,23 @@
         later changes are received again by a watch from there.
         """
         items: list[MirrorItem] = []
-        revision: int | None = None
+        first: tuple[int, int] | None = None
         after = ''
         for _ in range(PAGES_MAX):
             path = f'/v1/kv-range?prefix={quote(prefix, safe="")}'
             if after:
                 path = f'{path}&after={quote(after, safe="")}'
             reply = await self._call('list', 'GET', path, timeout_ms)
-            page = self._decode(reply, 'store.list', _WireRange)
+            page = self._decode(reply, 'store.list', WireRange)
             if isinstance(page, StoreUnanswered):
                 return page
-            revision = page.current_rev if revision is None else revision
-            items.extend(_decode_items(page.items))
+            era = _era_of(reply)
+            first = first or (era, page.current_rev)
+            if era != first[0]:
+                return self._restored('store.list')
+            items.extend(decode_items(page.items, era))
             if not (page.has_more and page.items):
-                return Batch(revision, tuple(items), is_whole=True)
+                return Batch(store_revision(*first), tuple(items), is_whole=True)
             after = page.items[-1].key
         return StoreUnanswered(
             'store.list', self.address, 'listing exceeds the page limit'
@@ -202,8 +208,10 @@
         reply = await self._call('read', 'GET', path, timeout_ms)
         if isinstance(reply, HttpAnswer) and reply.status == NOT_FOUND:
             return None
-        item = self._decode(reply, 'store.read', _WireItem)
-        return item if isinstance(item, StoreUnanswered) else _decode_items([item])[0]
+        item = self._decode(reply, 'store.read', WireItem)
+        if isinstance(item, StoreUnanswered):
+            return item
+        return decode_items([item], _era_of(reply))[0]
 
     async def write(
         self,
@@ -215,12 +223,19 @@
 
         Notes
         -----
-        A call without an answer may have taken effect, or may still do so.
+        A call without an answer may have taken effect, or may still do so. So may one
+        during which the store came back from an older copy.
         """
+        eras = {era_of(each.revision) for each in expected if each.revision}
+        self._note_era(max(eras, default=0))
+        era = self.era
+        if eras - {era}:
+            return ChangedMeanwhile()
         body = msgspec.json.encode(
             {
                 'expectedRevision': [
-                    {'key': each.key, 'revision': each.revision} for each in expected
+                    {'key': each.key, 'revision': number_in_era(each.revision)}
+                    for each in expected
                 ],
                 'writes': [
                     {
@@ -236,10 +251,12 @@
         reply = await self._call('write', 'POST', '/v1/kv-txn', timeout_ms, body)
         if isinstance(reply, HttpAnswer) and reply.status == REVISION_MISMATCH:
             return ChangedMeanwhile()
-        written = self._decode(reply, 'store.write', _WireRevision)
+        written = self._decode(reply, 'store.write', WireRevision)
         if isinstance(written, StoreUnanswered):
             return written
-        return Written(written.revision)
+        if _era_of(reply) != era:
+            return self._restored('store.write')
+        return Written(store_revision(era, written.revision))
 
     async def grant_lease(
         self, ttl_ms: float, timeout_ms: float
@@ -247,7 +264,7 @@
         """Return a new lease."""
         body = msgspec.json.encode({'ttlMs': round(ttl_ms)})
         reply = await self._call('lease', 'POST', '/v1/kv-lease', timeout_ms, body)
-        granted = self._decode(reply, 'store.lease', _WireLease)
+        granted = self._decode(reply, 'store.lease', WireLease)
         if isinstance(granted, StoreUnanswered):
             return granted
         return Lease(granted.lease, granted.ttl_ms)
@@ -260,30 +277,30 @@
         reply = await self._call('keep', 'POST', path, timeout_ms)
         if isinstance(reply, HttpAnswer) and reply.status == NOT_FOUND:
             return NoLease()
-        kept = self._decode(reply, 'store.keep', _WireKept)
+        kept = self._decode(reply, 'store.keep', WireKept)
         return kept if isinstance(kept, StoreUnanswered) else True
 
     async def watch(
         self, prefix: str, after: int, wait_ms: int, timeout_ms: float
     ) -> Batch | HistoryGone | StoreUnanswered:
         """Wait for changes after a revision and return them."""
+        self._note_era(era_of(after))
+        if era_of(after) != self.era:
+            return HistoryGone(after, self.era)
         path = (
             f'/v1/kv-watch?prefix={quote(prefix, safe="")}'
-            f'&after={after}&waitMs={wait_ms}'
+            f'&after={number_in_era(after)}&waitMs={wait_ms}'
         )
         reply = await self._call('watch', 'GET', path, timeout_ms)
         if isinstance(reply, HttpAnswer) and reply.status == COMPACTED:
-            return HistoryGone(after)
-        events = self._decode(reply, 'store.watch', _WireEvents)
+            return HistoryGone(after, self.era)
+        events = self._decode(reply, 'store.watch', WireEvents)
         if isinstance(events, StoreUnanswered):
             return events
-        removals = tuple(
-            Removal(event.key, event.revision)
-            for event in events.events
-            if event.tombstone
-        )
-        written = [event for event in events.events if not event.tombstone]
-        return Batch(events.current_rev, _decode_items(written), removals, since=after)
+        era = _era_of(reply)
+        if era != era_of(after):
+            return HistoryGone(after, era)
+        return decode_events(events, era, after)
 
     async def _call(
         self, kind: str, method: str, path: str, timeout_ms: float, body: bytes = b''
@@ -298,10 +315,18 @@
         head = '\r\n'.join((*lines, '', ''))
         content = head.encode('latin-1') + body
         reply = await self._pool.ask(content, timeout_ms)
-        if isinstance(reply, HttpAnswer):
-            self.era = max(self.era, read_era(reply.headers))
+        self._note_era(_era_of(reply))
         return reply
 
+    def _note_era(self, era: int) -> None:
+        if era > self.era:
+            self.era = era
+            self.on_restored(era)
+
+    def _restored(self, step: str) -> StoreUnanswered:
+        reason = 'the store came back from an older copy during the call'
+        return StoreUnanswered(step, self.address, reason)
+
     def _decode(
         self, reply: CallResult | None, step: str, kind: type[Decoded]
     ) -> Decoded | StoreUnanswered:
@@ -317,19 +342,13 @@
             return StoreUnanswered(step, self.address, f'unreadable: {error.reason}')
 
 
-def _decode_items(wire_items: list[_WireItem]) -> tuple[MirrorItem, ...]:
-    return tuple(
-        MirrorItem(item.key, _decode_base64(item.value), item.revision)
-        for item in wire_items
-    )
+def _ignore_era(era: int) -> None:
+    """Ignore a restore of the store."""
 
 
-def _decode_base64(text: str) -> bytes:
-    """Decode base64; an invalid text gives empty content, which no reader accepts."""
-    try:
-        return base64.b64decode(text, validate=True)
-    except (binascii.Error, ValueError):
-        return b''
+def _era_of(reply: CallResult | None) -> int:
+    """Return the era in which a call was answered; 0 without an answer."""
+    return read_era(reply.headers) if isinstance(reply, HttpAnswer) else 0
 
 
 def read_era(headers: HeaderList) -> int:
--- a/cowsliploom/standins/_fake_store.py
+++ b/cowsliploom/standins/_fake_store.py
@@ -38,6 +38,15 @@
     drops_write_responses: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Copy of the items and the history, to which a store may be restored."""
+
+    revision: int
+    items: dict[str, dict[str, object]]
+    history: list[dict[str, object]]
+
+
 class _Expected(msgspec.Struct):
     key: str
     revision: int
@@ -62,10 +71,16 @@
     -----
     Only the calls of the gateway are implemented: reads, ranges, watches and
     transactions without leases.
+
+    Attributes
+    ----------
+    era : int
+        How often it was restored from an older copy, as its answers say.
     """
 
     def __init__(self) -> None:
         self.faults = PlatformStoreFaults()
+        self.era = 0
         self.revision = 1
         self.calls = 0
         self._items: dict[str, dict[str, object]] = {}
@@ -119,12 +134,23 @@
         self._history.clear()
         self._history_from = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present contents."""
+        return StoreCopy(self.revision, dict(self._items), list(self._history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+
     def _dispatch(self, request: HttpRequest) -> Callable[[], None] | None:
         self.calls += 1
         if self.faults.is_silent:
             return None
         if self.faults.status:
-            request.answer(self.faults.status, [], b'')
+            request.answer(self.faults.status, self._headers(), b'')
             return None
         parts = urlsplit(request.target)
         query = {name: texts[0] for name, texts in parse_qs(parts.query).items()}
@@ -141,15 +167,15 @@
                 )
                 return lambda: None if watch_task.cancel() else None
             case _:
-                request.answer(404, [], b'')
+                request.answer(404, self._headers(), b'')
         return None
 
     def _read(self, request: HttpRequest, key: str) -> None:
         item = self._items.get(key)
         if item is None:
-            request.answer(404, [], b'')
+            request.answer(404, self._headers(), b'')
         else:
-            _answer(request, {**item, 'currentRev': self.revision})
+            self._answer(request, {**item, 'currentRev': self.revision})
 
     def _list(self, request: HttpRequest, prefix: str, after: str) -> None:
         keys = sorted(
@@ -157,7 +183,9 @@
         )
         page = [self._items[key] for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
-        _answer(request, {'items': page, 'hasMore': more, 'currentRev': self.revision})
+        self._answer(
+            request, {'items': page, 'hasMore': more, 'currentRev': self.revision}
+        )
 
     def _write(self, request: HttpRequest) -> None:
         """Apply the writes if all expected revisions match."""
@@ -165,7 +193,8 @@
         for expected in wire.expected_revision:
             item = self._items.get(expected.key, {'revision': 0})
             if expected.revision != _revision(item):
-                request.answer(412, [JSON], msgspec.json.encode({'items': []}))
+                body = msgspec.json.encode({'items': []})
+                request.answer(412, self._headers(), body)
                 return
         self.revision += 1
         for write in wire.writes:
@@ -178,26 +207,32 @@
             self._items[write.key] = item
             self._history.append(item)
         if not self.faults.drops_write_responses:
-            _answer(request, {'revision': self.revision})
+            self._answer(request, {'revision': self.revision})
 
     async def _watch(self, request: HttpRequest, query: dict[str, str]) -> None:
         after = int(query['after'])
         prefix = query.get('prefix', '')
         left_ms = float(query['waitMs'])
         while True:
-            if after < self._history_from:
-                request.answer(410, [], b'')
+            if not self._history_from <= after <= self.revision:
+                request.answer(410, self._headers(), b'')
                 return
             events = self._events(prefix, after)
             if events:
-                _answer(request, {'events': events, 'currentRev': self.revision})
+                self._answer(request, {'events': events, 'currentRev': self.revision})
                 return
             if left_ms <= 0:  # no await between the last check and the response
                 break
             await asyncio.sleep(WATCH_STEP_MS / MS_PER_S)
             left_ms -= WATCH_STEP_MS
         current = after if self.faults.drops_events else self.revision
-        _answer(request, {'events': [], 'currentRev': current})
+        self._answer(request, {'events': [], 'currentRev': current})
+
+    def _headers(self) -> list[tuple[str, str]]:
+        return [JSON, ('Store-Era', str(self.era))]
+
+    def _answer(self, request: HttpRequest, body: dict[str, object]) -> None:
+        request.answer(200, self._headers(), msgspec.json.encode(body))
 
     def _events(self, prefix: str, after: int) -> list[dict[str, object]]:
         if self.faults.drops_events:
@@ -212,7 +247,3 @@
 def _revision(event: dict[str, object]) -> int:
     revision = event['revision']
     return revision if isinstance(revision, int) else 0
-
-
-def _answer(request: HttpRequest, body: dict[str, object]) -> None:
-    request.answer(200, [JSON], msgspec.json.encode(body))
