Refuse entries whose name no header can hold, and fail only their call

Cause: the id of an entry was not checked, and goes into a header of each call to it. Rendering raised UnicodeEncodeError, and an error on the way of one call ended the whole request.

Change: the id is checked where the entry is decoded. Whatever is raised while a call is rendered or handed over counts as a failure of that server, which is set aside, and the request goes on elsewhere.

--- a/cowsliploom/gateway/_calls.py
+++ b/cowsliploom/gateway/_calls.py
@@ -17,12 +17,14 @@
     HeadWatch,
     HttpAnswer,
     HttpCall,
+    HttpFailure,
     headers_weight,
 )
 from cowsliploom.forwarding import (
     CallAnswered,
     CallerLeft,
     CallFailed,
+    CallStep,
     CancelCall,
     Command,
     ExchangeEvent,
@@ -85,6 +87,17 @@
         pool = self._pools.get(server, server.record.address, self._watch_heads)
         pool.send(call)
 
+    def fail_soon(self, server: Server, call: HttpCall, error: Exception) -> None:
+        """Fail a call that could not be sent; the caller has handled its commands then.
+
+        The reason is in the log lines of the server and of the request.
+        """
+        self._pools.counts['call_errors'] += 1
+        failure = HttpFailure(
+            CallStep.CONNECT, server.record.address, repr(error), may_have_run=False
+        )
+        self.loop.call_soon(call.end, failure)
+
     def record_leaving(self, names: Iterable[str]) -> None:
         """Record servers that leave, as another entry VM has heard from them."""
         fleet = self.dispatcher.fleet
@@ -240,17 +253,23 @@
             call.cancel()
 
     def _send(self, command: SendCall) -> None:
+        """Send a call; an unexpected error on the way is a failure of its server."""
         server = command.server
-        content = platform.render_call(self.head, server.name, command.patience_ms)
         call = HttpCall(
-            content,
+            b'',
             partial(self._handle_result, command.call_id),
             partial(platform.answer_origin, self.request_id),
             self._used_connections,
             self.body,
         )
         self.calls[command.call_id] = call
-        self.pools.send(server, call)
+        try:
+            call.content = platform.render_call(
+                self.head, server.name, command.patience_ms
+            )
+            self.pools.send(server, call)
+        except Exception as error:
+            self.pools.fail_soon(server, call, error)
 
     def _handle_result(self, call_id: int, result: CallResult) -> None:
         self.calls.pop(call_id, None)
--- a/cowsliploom/platform/__init__.py
+++ b/cowsliploom/platform/__init__.py
@@ -1,13 +1,11 @@
 """Adapters to the platform's names, formats and calls, without any decisions."""
 
+from cowsliploom.platform._document_checks import DocumentError as DocumentError
 from cowsliploom.platform._documents import CONFIGURATION_KEY as CONFIGURATION_KEY
 from cowsliploom.platform._documents import EVACUATION_PREFIX as EVACUATION_PREFIX
 from cowsliploom.platform._documents import MOVE_PREFIX as MOVE_PREFIX
-from cowsliploom.platform._documents import SERVER_PREFIX as SERVER_PREFIX
-from cowsliploom.platform._documents import DocumentError as DocumentError
 from cowsliploom.platform._documents import decode_configuration as decode_configuration
 from cowsliploom.platform._documents import decode_move_order as decode_move_order
-from cowsliploom.platform._documents import decode_server as decode_server
 from cowsliploom.platform._documents import (
     evacuated_data_centres as evacuated_data_centres,
 )
@@ -23,6 +21,8 @@
 from cowsliploom.platform._headers import render_merged as render_merged
 from cowsliploom.platform._notices import NOTICE_HEADERS as NOTICE_HEADERS
 from cowsliploom.platform._notices import read_notice as read_notice
+from cowsliploom.platform._registrations import SERVER_PREFIX as SERVER_PREFIX
+from cowsliploom.platform._registrations import decode_server as decode_server
 from cowsliploom.platform._settings import SETTINGS_VARIABLE as SETTINGS_VARIABLE
 from cowsliploom.platform._settings import MachineSettings as MachineSettings
 from cowsliploom.platform._settings import SettingsError as SettingsError
--- a/cowsliploom/platform/_documents.py
+++ b/cowsliploom/platform/_documents.py
@@ -1,4 +1,4 @@
-"""Documents that operators and backend servers write to the platform's store."""
+"""Documents that operators write to the platform's store."""
 
 import math
 from collections.abc import Iterable
@@ -11,52 +11,24 @@
     MoveOrder,
     Route,
     RouteTable,
-    ServerRecord,
-    ServerState,
     ServiceRules,
     WeightedService,
     Workspace,
     WorkspaceTable,
     key_digest,
 )
-from cowsliploom.protocol import (
-    AddressError,
-    UnreadableError,
-    decode_json,
-    split_address,
-)
+from cowsliploom.platform._document_checks import DocumentError, name_problem
+from cowsliploom.protocol import UnreadableError, decode_json
 
 CONFIGURATION_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
-SERVER_PREFIX = 'servers/'
 MOVE_PREFIX = 'op/rollout/'
 MS_PER_S = 1000
 SAFE = 'safe'
-SLOTS_MAX = 1_000_000
-EXACT_INTEGER_MAX = 2**53  # integers up to this are exact in all JSON libraries
-COLD_MAX_MS = 86_400_000.0  # no server stays cold for a day
-LOGGED_CHARS_MAX = 80  # of an invalid field
 ATTEMPTS_DEFAULT = 1
 TIMEOUT_DEFAULT_MS = 30_000.0
 
 
-class DocumentError(ValueError):
-    """Error about an invalid document.
-
-    Parameters
-    ----------
-    key : str
-        Key in the store.
-    reason : str
-        What is wrong with the document.
-    """
-
-    def __init__(self, key: str, reason: str) -> None:
-        super().__init__(f'{key}: {reason}')
-        self.key = key
-        self.reason = reason
-
-
 class _WireWeight(msgspec.Struct):
     service: str = ''
     name: str = ''  # alternative spelling of ``service``
@@ -110,18 +82,6 @@
     tenants: list[_WireTenant] = msgspec.field(default_factory=list)
 
 
-class _WireServer(msgspec.Struct, rename='camel'):
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: int
-    state: str
-    cold_remaining_ms: float
-    sequence: int
-    born: int = 0
-
-
 class _WireOrder(msgspec.Struct, rename='camel'):
     service: str
     target_version: str
@@ -155,62 +115,6 @@
     )
 
 
-def decode_server(key: str, text: bytes) -> ServerRecord:
-    """Decode the registration of a backend server.
-
-    Raises
-    ------
-    DocumentError
-        If a field is missing, of another type or out of range.
-    """
-    try:
-        wire = decode_json(text, _WireServer)
-    except UnreadableError as error:
-        raise DocumentError(key, error.reason) from error
-    problem = _server_problem(wire)
-    if problem:
-        raise DocumentError(key, problem)
-    return ServerRecord(
-        name=key.removeprefix(SERVER_PREFIX),
-        service=wire.service,
-        address=wire.address,
-        data_centre=wire.zone,
-        version=wire.version,
-        slots=wire.slots,
-        state=ServerState(wire.state),
-        cold_ms=max(0, wire.cold_remaining_ms),
-        sequence=wire.sequence,
-        born_ms=wire.born,
-    )
-
-
-def _server_problem(wire: _WireServer) -> str:
-    if not (wire.service and _is_address(wire.address)):
-        return (
-            f'service missing or address invalid: {wire.address[:LOGGED_CHARS_MAX]!r}'
-        )
-    if wire.state not in set(ServerState):
-        return f'unknown state {wire.state[:LOGGED_CHARS_MAX]!r}'
-    numbers = (
-        ('slots', wire.slots, 1, SLOTS_MAX),
-        ('sequence', wire.sequence, 0, EXACT_INTEGER_MAX),
-        ('born', wire.born, 0, EXACT_INTEGER_MAX),
-        ('coldRemainingMs', wire.cold_remaining_ms, -EXACT_INTEGER_MAX, COLD_MAX_MS),
-    )
-    for name, number, lower, upper in numbers:
-        if not lower <= number <= upper:
-            return f'{name} must be from {lower} to {upper}'
-    return ''
-
-
-def _is_address(text: str) -> bool:
-    try:
-        host, port = split_address(text)
-    except AddressError:
-        return False
-    return bool(host) and port > 0
-
-
 def decode_move_order(key: str, text: bytes, revision: int) -> MoveOrder:
     """Decode a request of the operator to move a service to another version.
 
@@ -289,8 +193,9 @@
 
 
 def _workspace(wire: _WireTenant) -> Workspace:
-    if not (wire.name.isascii() and wire.name.isprintable() and wire.name):
-        raise DocumentError(CONFIGURATION_KEY, f'workspace name {wire.name!r}')
+    problem = name_problem(wire.name)
+    if problem:
+        raise DocumentError(CONFIGURATION_KEY, f'workspace name: {problem}')
     return Workspace(wire.name, wire.priority)
 
 
--- a/cowsliploom/platform/tests/test_invalid_entries.py
+++ b/cowsliploom/platform/tests/test_invalid_entries.py
@@ -48,6 +48,34 @@
         decode_server('servers/a', text)
 
 
+@pytest.mark.parametrize(
+    'name',
+    [
+        '',
+        ' ',
+        'a ',
+        '\ta',
+        'ŵ',
+        'a\r\nx: y',
+        'a\nb',
+        'a\rb',
+        'a\x00b',
+        'a\x7fb',
+        'a\x85b',
+    ],
+)
+def test_entry_whose_name_no_header_can_hold_is_rejected(name):
+    """Guard against requests that fail as the head of a call can't be rendered."""
+    with pytest.raises(DocumentError, match='no header'):
+        decode_server(f'servers/{name}', msgspec.json.encode(ENTRY))
+
+
+@pytest.mark.parametrize('name', ['i-7f3a91c2', 'a b', 'x' * 190, 'a,b;c=d'])
+def test_entry_whose_name_a_header_can_hold_is_decoded(name):
+    entry = decode_server(f'servers/{name}', msgspec.json.encode(ENTRY))
+    assert entry.name == name
+
+
 @pytest.mark.parametrize(
     'decode',
     [
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -30,6 +30,7 @@
     return msgspec.json.encode({**entry, **fields})
 
 
+ODD_NAMES = ('i-odd-\u0175', 'i-odd-\r\nx: y', 'i-odd ', '')
 MALFORMED = {
     'nested': b''.join((make_entry()[:-1], b',"more":', DEEP, b'}')),
     'port': make_entry(address='127.0.0.1:99999'),
@@ -52,6 +53,8 @@
     """Write malformed server entries, a move state and a move request."""
     for name, entry in MALFORMED.items():
         world.store.put(f'servers/i-odd-{name}', entry)
+    for odd_name in ODD_NAMES:
+        world.store.put(f'servers/{odd_name}', make_entry())
     world.store.put('moves/one', DEEP)
     world.store.put('op/rollout/s0', DEEP)
 
