Return what a call has taken on every way out, and take IP addresses only

Cause: an address was checked for its form, so it could be a name. Opening a connection raised UnicodeError in a task that caught OSError alone: the descriptor was never returned, and the call never ended.

Change: an address has to be an IP address and a port. A descriptor for a call is an object that is returned once, owned by Opening until the connection is open and by the connection from then on. Any error and a cancellation return it and fail the call. Connections between entry VMs do the same.

--- a/cowsliploom/dataplane/_admission.py
+++ b/cowsliploom/dataplane/_admission.py
@@ -46,6 +46,30 @@
         ...
 
 
+class CallDescriptor:
+    """A descriptor that was taken for a call, and is returned once.
+
+    Parameters
+    ----------
+    admission : Admission
+        Account that it is returned to.
+    """
+
+    def __init__(self, admission: 'Admission') -> None:
+        self._admission: Admission | None = admission
+
+    @property
+    def is_held(self) -> bool:
+        """Whether it was not returned yet."""
+        return self._admission is not None
+
+    def release(self) -> None:
+        """Return the descriptor, unless that was done already."""
+        if self._admission is not None:
+            self._admission.close(Use.CALLS)
+            self._admission = None
+
+
 class Admission:
     """Pause whoever needs more room than there is, and end the greediest clients.
 
@@ -200,18 +224,19 @@
             return True
         return False
 
-    async def open_for_call(self) -> bool:
-        """Take a descriptor for a call; False if there is none.
+    async def open_for_call(self) -> CallDescriptor | None:
+        """Take a descriptor for a call; None if there is none.
 
         Idle connections to servers are closed first.
         """
         if self.open(Use.CALLS):
-            return True
+            return CallDescriptor(self)
         self.close_idle_calls()
         await asyncio.sleep(CLOSING_MS / MS_PER_S)
-        is_open = self.open(Use.CALLS)
-        self.refused += not is_open
-        return is_open
+        if self.open(Use.CALLS):
+            return CallDescriptor(self)
+        self.refused += 1
+        return None
 
     def close_idle_calls(self) -> None:
         """Close idle connections to servers, once for all that lack a descriptor."""
--- a/cowsliploom/dataplane/_call_connection.py
+++ b/cowsliploom/dataplane/_call_connection.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from cowsliploom.dataplane._admission import Admission
+from cowsliploom.dataplane._admission import Admission, CallDescriptor
 from cowsliploom.dataplane._bounds import AnswerBounds, AnswerMeter
 from cowsliploom.dataplane._http_calls import (
     AnswerOrigin,
@@ -19,7 +19,6 @@
 )
 from cowsliploom.dataplane._numbers import parse_count
 from cowsliploom.dataplane._read_room import ReadRoom
-from cowsliploom.dataplane._room import Use
 from cowsliploom.dataplane._sockets import (
     HeaderList,
     reset,
@@ -77,15 +76,17 @@
     ----------
     pool : ConnectionOwner
         Pool that the connection is returned to.
+    descriptor : CallDescriptor
+        Descriptor of the connection, returned once it is lost.
     """
 
-    def __init__(self, pool: ConnectionOwner) -> None:
+    def __init__(self, pool: ConnectionOwner, descriptor: CallDescriptor) -> None:
         self.pool = pool
+        self._descriptor = descriptor
         self._admission = pool.admission
         self._room = ReadRoom(
             self, pool.admission, is_work=True, has_priority=pool.has_priority
         )
-        self.was_made = False
         self.idle_since_ms: float = 0
         self.idle_max_ms: float = IDLE_DEFAULT_MS
         self._transport: asyncio.Transport | None = None
@@ -107,8 +108,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options of the new connection."""
-        self.was_made = True
         self._transport = cast(asyncio.Transport, transport)
+        if not self._descriptor.is_held:
+            self.abort()
+            return
         self._room.transport = self._transport
         sock = transport.get_extra_info('socket')
         if sock is not None:
@@ -143,7 +146,7 @@
         self._transport = None
         self._room.close()
         self._admission.charge(self, 0)
-        self._admission.close(Use.CALLS)
+        self._descriptor.release()
         self.pool.discard(self)
         if self._call is not None:
             self._fail(CallStep.RECEIVE, repr(exc) if exc else 'connection closed')
@@ -220,11 +223,14 @@
 
     # Methods for the pool.
 
+    @property
+    def is_open(self) -> bool:
+        """Whether calls can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def is_usable(self, now_ms: float) -> bool:
         """Return whether the connection is open and was not idle for too long."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        return now_ms - self.idle_since_ms < self.idle_max_ms
+        return self.is_open and now_ms - self.idle_since_ms < self.idle_max_ms
 
     def send(self, call: HttpCall) -> None:
         """Send a call."""
@@ -239,6 +245,14 @@
             if call.body:
                 self._transport.write(call.body)
 
+    def give_up(self) -> None:
+        """End a connection that could not be opened, and return its descriptor.
+
+        It may have been made all the same, just before the opening was given up.
+        """
+        self._descriptor.release()
+        self.abort()
+
     def abort(self) -> None:
         """Reset the connection and discard the call."""
         self._call = None
--- a/cowsliploom/dataplane/_connection_pool.py
+++ b/cowsliploom/dataplane/_connection_pool.py
@@ -14,7 +14,7 @@
     HttpCall,
     HttpFailure,
 )
-from cowsliploom.dataplane._room import Use
+from cowsliploom.dataplane._opening import Opening
 from cowsliploom.forwarding import CallStep
 from cowsliploom.protocol import split_address
 
@@ -78,7 +78,7 @@
         """Send a call on an idle connection or a new one."""
         connection = self._take_idle(call)
         if connection is not None:
-            connection.send(call)
+            self._send_on(connection, call)
             return
         opening = self._loop.create_task(self._open(call))
         self._opening.add(opening)
@@ -146,27 +146,36 @@
 
     async def _open(self, call: HttpCall) -> None:
         """Open a connection for a call, if a descriptor is left."""
-        if not await self.admission.open_for_call():
+        descriptor = await self.admission.open_for_call()
+        if descriptor is None:
             reason = 'no descriptor is left for calls'
             call.end(HttpFailure(CallStep.LOCAL, self.address, reason, False))
             return
-        connection = CallConnection(self)
-        try:
-            host, port = split_address(self.address)
-            async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
-                await self._loop.create_connection(
-                    lambda: connection, host=host, port=port
-                )
-        except OSError as error:
-            if not connection.was_made:
-                self.admission.close(Use.CALLS)
-            call.end(HttpFailure(CallStep.CONNECT, self.address, repr(error), False))
+        connection = CallConnection(self, descriptor)
+        with Opening(connection, call):
+            await self._connect(connection)
+        if call.is_ended and not connection.is_open:
             return
         self._all.add(connection)
         if call.is_ended:
             self.release(connection)
             return
-        connection.send(call)
+        self._send_on(connection, call)
+
+    async def _connect(self, connection: CallConnection) -> None:
+        host, port = split_address(self.address)
+        async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
+            await self._loop.create_connection(lambda: connection, host=host, port=port)
+
+    def _send_on(self, connection: CallConnection, call: HttpCall) -> None:
+        """Send a call; after an unexpected error it may have been sent in part."""
+        try:
+            connection.send(call)
+        except Exception as error:
+            self.counts['call_errors'] += 1
+            connection.abort()
+            failure = HttpFailure(CallStep.SEND, self.address, repr(error), True)
+            self._loop.call_soon(call.end, failure)
 
 
 def _set_result(done: 'asyncio.Future[CallResult]', result: CallResult) -> None:
--- a/cowsliploom/dataplane/_frames.py
+++ b/cowsliploom/dataplane/_frames.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import ExitStack
 from typing import cast
 
 from cowsliploom.dataplane._acceptor import Acceptor
-from cowsliploom.dataplane._admission import Admission
+from cowsliploom.dataplane._admission import Admission, CallDescriptor
 from cowsliploom.dataplane._pace import ReadingPace
 from cowsliploom.dataplane._read_room import ReadRoom
 from cowsliploom.dataplane._room import Use
@@ -33,8 +34,8 @@
         Called once with this connection after it was lost.
     admission : Admission or None
         Account of the process. Default one without limits.
-    use : Use
-        What its descriptor is used for.
+    descriptor : CallDescriptor or None
+        Descriptor of a connection that was opened here; None for an accepted one.
     """
 
     def __init__(
@@ -42,12 +43,12 @@
         on_frame: Callable[['FrameConnection', bytes], None],
         on_lost: Callable[['FrameConnection'], None],
         admission: Admission | None = None,
-        use: Use = Use.RELAYS,
+        descriptor: CallDescriptor | None = None,
     ) -> None:
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._admission = Admission() if admission is None else admission
-        self._use = use
+        self._descriptor = descriptor
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._room = ReadRoom(self, self._admission, is_work=False)
@@ -55,7 +56,6 @@
         self._written_bytes = 0
         self._frame_start_ms: float | None = None
         self._pace = ReadingPace()
-        self.was_made = False
 
     @property
     def is_open(self) -> bool:
@@ -69,7 +69,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options of the new connection."""
-        self.was_made = True
         self._transport = cast(asyncio.Transport, transport)
         self._room.transport = self._transport
         sock = transport.get_extra_info('socket')
@@ -83,7 +82,10 @@
         self._buffer = bytearray()
         self._room.close()
         self._admission.remove(self)
-        self._admission.close(self._use)
+        if self._descriptor is None:
+            self._admission.close(Use.RELAYS)
+        else:
+            self._descriptor.release()
         self._on_lost(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: WPS615 (of asyncio)
@@ -192,18 +194,18 @@
     """
     host, port = split_address(address)
     admission = Admission() if admission is None else admission
-    if not await admission.open_for_call():
+    descriptor = await admission.open_for_call()
+    if descriptor is None:
         raise OSError('no descriptor is left for calls')
-    connection = FrameConnection(on_frame, on_lost, admission, Use.CALLS)
-    try:
+    connection = FrameConnection(on_frame, on_lost, admission, descriptor)
+    with ExitStack() as unopened:
+        unopened.callback(connection.abort)
+        unopened.callback(descriptor.release)
         async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
             await asyncio.get_running_loop().create_connection(
                 lambda: connection, host=host, port=port
             )
-    except OSError:
-        if not connection.was_made:
-            admission.close(Use.CALLS)
-        raise
+        unopened.pop_all()
     return connection
 
 
--- a/cowsliploom/gateway/_relay_client.py
+++ b/cowsliploom/gateway/_relay_client.py
@@ -178,7 +178,7 @@
                 self._handle_disconnect,
                 self._admission,
             )
-        except OSError as error:
+        except Exception as error:
             self._connecting = None
             self._unsent.clear()
             self._fail(CallStep.CONNECT, repr(error), may_have_run=False)
--- a/cowsliploom/platform/_registrations.py
+++ b/cowsliploom/platform/_registrations.py
@@ -1,5 +1,7 @@
 """Registrations that backend servers write to the platform's store."""
 
+from ipaddress import ip_address
+
 import msgspec
 
 from cowsliploom.forwarding import ServerRecord, ServerState
@@ -84,8 +86,10 @@
 
 
 def _is_address(text: str) -> bool:
+    """Return whether a text is an IP address and a port; no names are looked up."""
     try:
         host, port = split_address(text)
-    except AddressError:
+        ip_address(host)
+    except (AddressError, ValueError):
         return False
-    return bool(host) and port > 0
+    return port > 0
--- a/cowsliploom/platform/tests/test_invalid_entries.py
+++ b/cowsliploom/platform/tests/test_invalid_entries.py
@@ -29,6 +29,12 @@
     'port_in_non_ascii_digits': {'address': '127.0.0.1:٣٣'},
     'long_host': {'address': 'h' * 300 + ':80'},
     'non_ascii_host': {'address': 'é:80'},
+    'host_name': {'address': 'backend.example:80'},
+    'empty_label': {'address': 'a..b:80'},
+    'long_label': {'address': f'{"x" * 70}.example:80'},
+    'no_host': {'address': ':80'},
+    'part_of_an_ip_address': {'address': '127.1:80'},
+    'blank_before_the_host': {'address': ' 127.0.0.1:80'},
     'huge_slots': {'slots': 10**30},
     'huge_sequence': {'sequence': 10**30},
     'huge_born': {'born': 10**30},
@@ -37,8 +43,10 @@
 }
 
 
-def test_valid_entry_is_decoded():
-    assert decode_server('servers/a', msgspec.json.encode(ENTRY)).slots == 2
+@pytest.mark.parametrize('address', ['127.0.0.1:8000', '[::1]:80', '0.0.0.0:65535'])
+def test_valid_entry_is_decoded(address):
+    text = msgspec.json.encode({**ENTRY, 'address': address})
+    assert decode_server('servers/a', text).slots == 2
 
 
 @pytest.mark.parametrize('case', INVALID_FIELDS)
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -33,6 +33,8 @@
 ODD_NAMES = ('i-odd-\u0175', 'i-odd-\r\nx: y', 'i-odd ', '')
 MALFORMED = {
     'nested': b''.join((make_entry()[:-1], b',"more":', DEEP, b'}')),
+    'label': make_entry(address=f'{"x" * 70}.example:8080'),
+    'empty-label': make_entry(address='a..b:8080'),
     'port': make_entry(address='127.0.0.1:99999'),
     'slots': make_entry(slots=10**30),
     'born': make_entry(born=10**30),
