Order the reports of a backend by its start and their sequence

Cause: a lower sequence was taken for a new start, also where both reports state the same start, and what was known of the server was forgotten. After a removal nothing ordered the reports.

Change: report_order decides in one place: the stated start tells a new start, the sequence orders the reports of one, and only where none is stated a lower sequence is a new start. An older report changes nothing, and registers no server that was removed after a newer one. Each has a log line, once.

--- a/cowsliploom/forwarding/_fleet.py
+++ b/cowsliploom/forwarding/_fleet.py
@@ -7,6 +7,11 @@
 from cowsliploom.forwarding._leaving import LeavingPolicy
 from cowsliploom.forwarding._moves import VersionSplit, VersionSplits
 from cowsliploom.forwarding._notice_board import NoServer, NoticeBoard, why_no_server
+from cowsliploom.forwarding._report_order import (
+    ReportHistory,
+    ReportOrder,
+    report_order,
+)
 from cowsliploom.forwarding._server_choice import CallLimits, ServerChoice
 from cowsliploom.forwarding._server_notices import ServerNotice
 from cowsliploom.forwarding._servers import (
@@ -14,7 +19,6 @@
     ServerHealthChange,
     ServerRecord,
     ignore_health_change,
-    is_restarted,
 )
 
 CONNECTIONS_SHARE = 0.85  # the rest is reserved for replaced and silent connections
@@ -65,6 +69,7 @@
         self._choice = ServerChoice(generator, data_centre, owns)
         self.notices = NoticeBoard(generator)
         self._splits = VersionSplits()
+        self._history = ReportHistory()
 
     @property
     def leaving(self) -> LeavingPolicy:
@@ -190,18 +195,24 @@
 
     def _apply_record(self, record: ServerRecord, now_ms: float) -> ServerChange | None:
         known = self._servers.get(record.name)
-        if known is not None and not is_restarted(known.record, record):
-            if known.record == record:
-                return None
-            state = known.record.state
-            known.update_record(record, now_ms)
-            if state is record.state:
-                return None
-            return ServerChange(record.name, record.state, record.service)
+        if known is None:
+            order = self._history.order_removed(record)
+        else:
+            order = report_order(known.record, record)
+        if order is ReportOrder.OLDER:
+            is_first = self._history.ignore(record)
+            change = ServerChange(record.name, 'older report', record.service)
+            return change if is_first else None
+        if known is not None and order is ReportOrder.FOLLOWS:
+            return _update_server(known, record, now_ms)
         if known is not None:
             self._remove(record.name)
+        return self._add(record, now_ms)
+
+    def _add(self, record: ServerRecord, now_ms: float) -> ServerChange:
         server = Server(record, now_ms, self._notify)
         self.notices.restore(server)
+        self._history.forget(record.name)
         self._servers[record.name] = server
         self._by_service.setdefault(record.service, []).append(server)
         return ServerChange(record.name, 'new', record.service)
@@ -210,12 +221,26 @@
         server = self._servers.pop(name)
         server.is_gone = True
         self.notices.keep(server)
+        self._history.keep(server.record)
         self._choice.forget(name)
         service = server.record.service
         self._by_service[service].remove(server)
         return ServerChange(name, 'gone', service)
 
 
+def _update_server(
+    server: Server, record: ServerRecord, now_ms: float
+) -> ServerChange | None:
+    """Apply a report of a known server; return the change of its state, if any."""
+    if server.record == record:
+        return None
+    state = server.record.state
+    server.update_record(record, now_ms)
+    if state is record.state:
+        return None
+    return ServerChange(record.name, record.state, record.service)
+
+
 def calls_max(connections_max: int, sharers: int) -> int:
     """Return how many connections one entry VM may open to one server.
 
--- a/cowsliploom/forwarding/_notice_board.py
+++ b/cowsliploom/forwarding/_notice_board.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from cowsliploom.forwarding._report_order import ReportOrder, report_order
 from cowsliploom.forwarding._server_notices import ServerNotice, StandingNotice
-from cowsliploom.forwarding._servers import Server, is_restarted
+from cowsliploom.forwarding._servers import Server
 
 NO_NOTICE = StandingNotice()
 REMOVED_MAX = 1024  # removed servers whose notices are kept
@@ -70,7 +71,10 @@
     def restore(self, server: Server) -> None:
         """Apply the kept notices to a server that is registered again."""
         kept = self._removed.pop(server.name, None)
-        if kept is not None and not is_restarted(kept.record, server.record):
+        if kept is None:
+            return
+        order = report_order(kept.record, server.record)
+        if order is not ReportOrder.NEW_START:
             server.standing = kept.standing
 
 
--- a/cowsliploom/forwarding/_servers.py
+++ b/cowsliploom/forwarding/_servers.py
@@ -64,15 +64,6 @@
     born_ms: float = 0
 
 
-def is_restarted(known: ServerRecord, record: ServerRecord) -> bool:
-    """Return whether the server restarted, or moved to another address or service."""
-    moved = (known.address, known.service) != (record.address, record.service)
-    restarted = record.born_ms > known.born_ms or (
-        record.born_ms == known.born_ms and record.sequence < known.sequence
-    )
-    return moved or restarted
-
-
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load that a backend server reported with an answer.
--- a/tests/processes/test_leaving_servers.py
+++ b/tests/processes/test_leaving_servers.py
@@ -62,3 +62,30 @@
         assert set(await apply_load(SETTLE_S, LIGHT_CLIENTS)) == {200}
 
     run_script(tmp_path, script)
+
+
+@pytest.mark.parametrize('is_removed', [False, True])
+def test_late_report_of_a_leaving_server_does_not_bring_it_back(tmp_path, is_removed):
+    """Guard against a report that the store takes late, taken for a new start."""
+
+    async def script(world):
+        servers = await start(world, count=2)
+        for server in servers:
+            entry = server.entry(born=1, sequence=5)
+            world.store.put(f'servers/{server.name}', entry)
+        await asyncio.sleep(2 * SETTLE_S)
+        leaving = servers[0]
+        leaving.faults.is_leaving = True
+        loading = asyncio.create_task(apply_load(LOAD_S, LIGHT_CLIENTS))
+        await asyncio.sleep(LOAD_S / 4)
+        if is_removed:
+            world.store.delete(f'servers/{leaving.name}')
+            await asyncio.sleep(SETTLE_S)
+        late = leaving.entry(born=1, sequence=3)
+        world.store.put(f'servers/{leaving.name}', late)
+        statuses = await loading
+        assert leaving.told_s
+        assert not leaving.late_after_leaving(SETTLE_S)
+        assert set(statuses) == {200}
+
+    run_script(tmp_path, script)
