Plan no relays for servers whose data centre no VM is known of

Cause: the empty name stands for "no data centre is known", and was looked up. Change: without members there the plan ends. Result: the new case of test_relay.py fails with KeyError before and passes now.

--- a/cowsliploom/forwarding/_relay_plan.py
+++ b/cowsliploom/forwarding/_relay_plan.py
@@ -124,9 +124,9 @@
     while True:
         data_centre = _fullest_data_centre(left, by_data_centre, requester)
         here = tuple(sorted(name for name in left if data_centre in left[name]))
-        if len(here) < REMOTE_SHARDS_MIN:
+        there = by_data_centre.get(data_centre, {})
+        if len(here) < REMOTE_SHARDS_MIN or not there:
             return tuple(shares)
-        there = by_data_centre[data_centre]
         if len(there) < LARGE_DATA_CENTRE:
             shares.extend(_shares_by_requester(here, there, requester))
         else:
--- a/cowsliploom/forwarding/tests/test_relay.py
+++ b/cowsliploom/forwarding/tests/test_relay.py
@@ -138,6 +138,12 @@
     assert len(named) == len(set(named))
 
 
+def test_servers_of_no_data_centre_are_relayed_by_nobody():
+    """Guard against an error for entries without a data centre where no VM is known."""
+    nowhere = {shard: frozenset(('',)) for shard in SHARDS}
+    assert not plan_remote_relays(nowhere, (), 'own')
+
+
 def test_shards_with_a_local_server_are_not_relayed_remotely():
     dispatcher = make_wide_dispatcher(REMOTE_MEMBERS)
     assert not relay_commands(RequestDriver.start(dispatcher, '/many/x'))
