Log the errors that end background tasks and callbacks

Seen: a task that writes the state of a move again ended by an error, and none of its later tries began; descriptors were lost by a task in the same way. Nobody read the errors.

Cause: results of background tasks are discarded, and asyncio reports an error only when the task is collected, on standard error and without structure.

--- a/cowsliploom/gateway/_daemon.py
+++ b/cowsliploom/gateway/_daemon.py
@@ -14,7 +14,7 @@
     Use,
 )
 from cowsliploom.forwarding import CallerLimits, RequestDispatcher
-from cowsliploom.gateway._background import keep_running
+from cowsliploom.gateway._background import LoopErrors, keep_running
 from cowsliploom.gateway._budget_log import BudgetLog
 from cowsliploom.gateway._budget_share import BudgetShare
 from cowsliploom.gateway._calls import ServerPools
@@ -140,6 +140,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then drain."""
         self.log.start()
+        self._loop.set_exception_handler(LoopErrors(self.log, self.metrics).handle)
         listeners = await self._start()
         await self._stop.wait()
         await self._drain()
