Keep the state of a move apart from that of the service's last one

Seen in a reading of the diff: the answer to a write for a request that has been replaced meanwhile entered the last move's state as known, and the states of the next move were then taken for ones of another move and ignored.

Cause: known states were kept by service alone. Change: a state of another version replaces the known one, and who asks names the version.

--- a/cowsliploom/gateway/_known_states.py
+++ b/cowsliploom/gateway/_known_states.py
@@ -26,9 +26,9 @@
 class KnownStates:
     """Keep the states of moves, so that no move goes back.
 
-    A version has a single attempt, so its states only go on. A store that was restored
-    may hold an earlier one or none, and a late write may bring one back: the state that
-    was known goes on being used until it is written again.
+    A version has a single attempt, so the states of a move only go on. A store that was
+    restored may hold an earlier one or none, and a late write may bring one back: the
+    state that was known goes on being used until it is written again.
     """
 
     def __init__(self) -> None:
@@ -42,7 +42,7 @@
         service : str
             Service of the move.
         stored : MoveState
-            State that the store holds for the current request.
+            State that the store holds.
         revision : int
             Revision of the stored state.
         """
@@ -54,9 +54,12 @@
         self._known[service] = KnownState(stored, revision)
         return stored
 
-    def get(self, service: str) -> KnownState | None:
-        """Return the state to go by; None if no state is known."""
-        return self._known.get(service)
+    def get(self, service: str, to_version: str) -> KnownState | None:
+        """Return the state of a service's move to a version; None if none is known."""
+        known = self._known.get(service)
+        if known is None or known.state.to_version != to_version:
+            return None
+        return known
 
     def forget(self, service: str) -> None:
         """Remove the state of a move request that has ended."""
@@ -64,10 +67,9 @@
 
 
 def _follows(later: MoveState, earlier: MoveState) -> bool:
-    """Return whether a state of the same move is not behind another one."""
-    if later.to_version != earlier.to_version:
-        return False
-    return _progress(later) >= _progress(earlier)
+    """Return whether a state is not behind another one, or is of another move."""
+    is_same_move = later.to_version == earlier.to_version
+    return not is_same_move or _progress(later) >= _progress(earlier)
 
 
 def _progress(state: MoveState) -> tuple[int, int, float]:
--- a/cowsliploom/gateway/_move_states.py
+++ b/cowsliploom/gateway/_move_states.py
@@ -108,7 +108,7 @@
         item = self._mirror.get(f'{STATE_PREFIX}{service}')
         if item is not None:
             self._merge(active, item)
-        known = self.known.get(service)
+        known = self.known.get(service, active.order.to_version)
         if known is None:
             return False
         if item is None:
@@ -128,7 +128,7 @@
         service = active.order.service
         key = f'{STATE_PREFIX}{service}'
         item = self._mirror.get(key)
-        known = self.known.get(service)
+        known = self.known.get(service, active.order.to_version)
         if known is None:
             return
         state = known.state
--- a/cowsliploom/gateway/_store_view.py
+++ b/cowsliploom/gateway/_store_view.py
@@ -228,8 +228,13 @@
             if key.startswith(RESTORED_PREFIXES) and self.mirror.get(key) is None
         ]
         self._held.update(dict.fromkeys(lost, until_ms))
-        hold_ms = round(until_ms - now_ms)
-        self.log.write('store', 'lost keys held', era=era, keys=lost, for_ms=hold_ms)
+        self.log.write(
+            'store',
+            'lost keys held',
+            era=era,
+            keys=lost[:CHANGE_LINES_MAX],
+            for_ms=round(until_ms - now_ms),
+        )
 
     def _apply_configuration(self, provenance: Provenance) -> None:
         item = self.mirror.get(platform.CONFIGURATION_KEY)
--- a/cowsliploom/gateway/_version_moves.py
+++ b/cowsliploom/gateway/_version_moves.py
@@ -297,7 +297,7 @@
         """Return the requests whose known states no veto outranks."""
         vetoes = self._rollout.vetoes()
         for service, active in self._active_orders.items():
-            known = self._states.known.get(service)
+            known = self._states.known.get(service, active.order.to_version)
             if known is not None and not _is_vetoed(service, known.state, vetoes):
                 yield active
 
