Give servers and callers of a test more time than a stall of the machine takes

Change: in this test a server is silent after 5 s, and a caller's patience is 5 s. Its checks are unchanged.

--- a/cowsliploom/gateway/tests/test_call_steps.py
+++ b/cowsliploom/gateway/tests/test_call_steps.py
@@ -17,10 +17,13 @@
 from cowsliploom.gateway.tests.test_store_view import RecordingLog, make_store_view
 
 REQUESTS = 12
-ANSWER_S = 2.0  # within the caller's deadline
+ANSWER_S = 6.0  # longer than the patience of callers
 BODY = b'body'
 CONNECT_S = 0.3  # a little more than the time to connect
-PATIENT_MS = 5000  # to connect, so that a stall of the machine is no server's failure
+# To connect and to answer, so that a stall of the machine is nobody's failure.
+PATIENT_MS = 5000
+SILENCE = 'cowsliploom.forwarding._servers.SILENCE_MIN_MS'
+PATIENCE = 'cowsliploom.gateway.tests.test_odd_servers.PATIENCE_MS'
 BROKEN = 'one-0'
 ERRORS = (
     ValueError,
@@ -133,6 +136,13 @@
         self.patch.setattr(connection_type, 'send', send_call)
 
 
+@pytest.fixture(autouse=True)
+def patience(monkeypatch):
+    """Give servers and callers more time than a stall of the machine takes."""
+    monkeypatch.setattr(SILENCE, PATIENT_MS)
+    monkeypatch.setattr(PATIENCE, PATIENT_MS)
+
+
 def connect_patiently(pools):
     """Give connections more time to open."""
     get = pools._pools.get
