--- a/cowsliploom/dataplane/tests/test_draining.py
+++ b/cowsliploom/dataplane/tests/test_draining.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cowsliploom.dataplane import HttpListener
-from cowsliploom.dataplane.tests.test_dataplane import echo, send_chunks
+from cowsliploom.dataplane.tests.test_listener import echo, send_chunks
 
 
 def test_draining_listener_closes_after_an_answer():
--- a/cowsliploom/dataplane/tests/test_head_requests.py
+++ b/cowsliploom/dataplane/tests/test_head_requests.py
@@ -5,11 +5,8 @@
 import pytest
 
 from cowsliploom.dataplane import ConnectionPool
-from cowsliploom.dataplane.tests.test_dataplane import (
-    ScriptedServer,
-    echo,
-    run_listener,
-)
+from cowsliploom.dataplane.tests.test_connection_pool import ScriptedServer
+from cowsliploom.dataplane.tests.test_listener import echo, run_listener
 
 TIMEOUT_MS = 500
 
--- a/cowsliploom/dataplane/tests/test_head_watch.py
+++ b/cowsliploom/dataplane/tests/test_head_watch.py
@@ -12,7 +12,7 @@
     HttpCall,
     HttpFailure,
 )
-from cowsliploom.dataplane.tests.test_dataplane import OK, ScriptedServer
+from cowsliploom.dataplane.tests.test_connection_pool import OK, ScriptedServer
 
 NAMES = frozenset(('server-leaving',))
 WATCHED = b'HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\n'
--- a/cowsliploom/dataplane/tests/test_odd_numbers.py
+++ b/cowsliploom/dataplane/tests/test_odd_numbers.py
@@ -3,7 +3,11 @@
 import pytest
 
 from cowsliploom.dataplane import HttpAnswer, HttpFailure, parse_count
-from cowsliploom.dataplane.tests.test_dataplane import OK, ScriptedServer, run_calls
+from cowsliploom.dataplane.tests.test_connection_pool import (
+    OK,
+    ScriptedServer,
+    run_calls,
+)
 
 ODD = ('', '-1', '1e3', '²', '٣', '0x1', '1.5', '9' * 5000, 'timeout', '\x00')
 
--- a/cowsliploom/dataplane/tests/test_offered_protocols.py
+++ b/cowsliploom/dataplane/tests/test_offered_protocols.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cowsliploom.dataplane import HttpListener
-from cowsliploom.dataplane.tests.test_dataplane import (
+from cowsliploom.dataplane.tests.test_listener import (
     LIMITS,
     echo,
     run_listener,
